Lay out the workspace and the typed interface of the decisions

Cause: parts that are built side by side need one set of names, units, versions and messages, and one interface for the decisions. Ruled out: one crate for all (the shells would pull sockets into the decisions); decisions behind async traits (no virtual time).

--- /dev/null
+++ b/crates/kernel/src/exchange.rs
@@ -0,0 +1,290 @@
+//! Messages between the handing node and the admitting node about one request.
+//!
+//! An exchange is one request message and one reply message on a connection of
+//! its own, so a late or crossed reply cannot be taken for another's.
+
+use std::time::Duration;
+
+use celeryshore_model::Attempt;
+use celeryshore_model::Depth;
+use celeryshore_model::Digest;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::HttpResponse;
+use celeryshore_model::Incarnation;
+use celeryshore_model::KindId;
+use celeryshore_model::RequestKey;
+use celeryshore_model::UpstreamName;
+use celeryshore_model::Version;
+use celeryshore_model::VmName;
+use derive_more::Display;
+use derive_more::From;
+use serde::Serialize;
+
+/// First message of an exchange.
+#[derive(Clone, Debug, From, PartialEq, Eq)]
+pub enum PeerRequest {
+    /// A request to run at the receiver's target.
+    Handover(Box<Handover>),
+    /// A question about an idempotency key, which also leaves a fence.
+    Inquiry(Inquiry),
+}
+
+/// Last message of an exchange.
+#[derive(Clone, Debug, From, PartialEq, Eq)]
+pub enum PeerReply {
+    /// Reply to a hand-over.
+    Reply(Box<Reply>),
+    /// Reply to an inquiry.
+    Vote(Box<Vote>),
+}
+
+/// A request on its way to the node that admits work to its target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handover {
+    /// Node that hands the request over.
+    pub from: VmName,
+    /// Version that the request was routed under.
+    pub version: Version,
+    /// Upstream that was chosen.
+    pub upstream: UpstreamName,
+    /// Request kind.
+    pub kind: KindId,
+    /// How the request is delivered, by the semantics of its kind.
+    pub delivery: Delivery,
+    /// Time left until the caller's deadline.
+    pub remaining: Duration,
+    /// Calls of the mesh between the first caller and this one.
+    pub depth: Depth,
+    /// Digest of method, path and body; names the request in poison counts.
+    pub fingerprint: Digest,
+    /// VMs whose target or node was lost while it ran this same request.
+    pub casualties: Vec<VmName>,
+    /// The request itself.
+    pub request: HttpRequest,
+}
+
+/// How a request is delivered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// Idempotent: may be run again.
+    Repeatable,
+    /// At most once, without a key: one attempt only.
+    Once,
+    /// At most once, named by a key.
+    Keyed {
+        /// The caller's key.
+        key: RequestKey,
+        /// How often the caller has sent the key; absent if the caller does not say.
+        attempt: Option<Attempt>,
+    },
+}
+
+/// Reply of the admitting node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// What became of the request.
+    pub outcome: ReplyOutcome,
+    /// Load of the admitting node's target.
+    pub load: LoadReport,
+    /// Version in force at the admitting node.
+    pub version: Version,
+    /// Life of the admitting node's process.
+    pub incarnation: Incarnation,
+}
+
+/// What became of a request that was handed over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReplyOutcome {
+    /// The target's whole answer.
+    Answered(HttpResponse),
+    /// It certainly did not run, and this copy never will.
+    NotRun {
+        /// Why it did not run.
+        reason: NotRun,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run.
+    Unknown(Unknown),
+}
+
+/// Why a request did not run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotRun {
+    /// All slots are taken and the queue is full, or its wait exceeds the deadline.
+    #[display("overloaded")]
+    Overloaded,
+    /// The target in cold start can bear no more.
+    #[display("cold-start")]
+    ColdStart,
+    /// The node or its target is leaving.
+    #[display("leaving")]
+    Leaving,
+    /// Operators have taken the zone or the VM out.
+    #[display("out-of-service")]
+    OutOfService,
+    /// The receiver's configuration is older than the one the request was routed under.
+    #[display("behind")]
+    Behind,
+    /// The upstream or the kind does not exist in the receiver's configuration.
+    #[display("not-here")]
+    NotHere,
+    /// The deadline passed before it could start.
+    #[display("deadline")]
+    Deadline,
+    /// It was given up by its caller before it started.
+    #[display("cancelled")]
+    Cancelled,
+    /// The target cannot be connected to.
+    #[display("target-down")]
+    TargetDown,
+    /// Targets were lost while they ran this same request.
+    #[display("poison")]
+    Poison,
+    /// The same key came with another request.
+    #[display("key-reused")]
+    KeyReused,
+    /// The key is older than the time for which keys are remembered.
+    #[display("key-expired")]
+    KeyExpired,
+    /// The journal has no room for another key.
+    #[display("journal-full")]
+    JournalFull,
+    /// No upstream of the service may take work.
+    #[display("no-upstream")]
+    NoUpstream,
+    /// No route takes the request.
+    #[display("no-route")]
+    NoRoute,
+    /// The node has not yet learned a configuration.
+    #[display("learning")]
+    Learning,
+    /// The request is larger than the service allows.
+    #[display("too-large")]
+    TooLarge,
+    /// The call lies deeper than calls may be nested.
+    #[display("too-deep")]
+    TooDeep,
+}
+
+/// Why nobody can say whether a request ran.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Unknown {
+    /// The exchange with the admitting node broke after the request was sent.
+    #[display("peer-lost")]
+    PeerLost,
+    /// The target's connection broke, or its answer was not whole.
+    #[display("target-lost")]
+    TargetLost,
+    /// The deadline passed while it ran.
+    #[display("deadline")]
+    Deadline,
+    /// A node that may have run the key cannot be asked.
+    #[display("witness-unreachable")]
+    WitnessUnreachable,
+    /// A node that may have run the key in an earlier life does not remember.
+    #[display("witness-restarted")]
+    WitnessRestarted,
+    /// Another copy of the key is being judged or has taken its place.
+    #[display("superseded")]
+    Superseded,
+    /// It ran, but its answer is no longer held.
+    #[display("answer-gone")]
+    AnswerGone,
+}
+
+/// Load of a target, as the node that admits its work sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct LoadReport {
+    /// Requests that run or wait.
+    pub in_flight: u32,
+    /// Requests that may run at one time now.
+    pub limit: u32,
+    /// Phase of the target.
+    pub phase: Phase,
+}
+
+/// Phase of a target, as the node that admits its work sees it.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// Nothing is known, or the target is in cold start.
+    #[default]
+    #[display("cold")]
+    Cold,
+    /// The target bears more and more.
+    #[display("warming")]
+    Warming,
+    /// The target bears its full load.
+    #[display("warm")]
+    Warm,
+    /// The target takes no new work.
+    #[display("draining")]
+    Draining,
+    /// The target does not answer.
+    #[display("down")]
+    Down,
+}
+
+/// Rank of a copy of a keyed request among its copies; the highest goes on.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[display("{attempt}@{judge}#{sequence}")]
+pub struct Fence {
+    /// How often the caller had sent the key.
+    pub attempt: Attempt,
+    /// Judgement number at the judging node.
+    pub sequence: u64,
+    /// Node that judges the copy.
+    pub judge: VmName,
+}
+
+/// Question of a judging node: may the key have run at the receiver?
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Inquiry {
+    /// Node that judges.
+    pub from: VmName,
+    /// Version under which the judge lists the witnesses.
+    pub version: Version,
+    /// Request kind.
+    pub kind: KindId,
+    /// The key.
+    pub key: RequestKey,
+    /// Digest of the request, to tell another request under the same key.
+    pub fingerprint: Digest,
+    /// Fence that the receiver is to set, if it has not seen the key.
+    pub fence: Fence,
+    /// Time left until the caller's deadline.
+    pub remaining: Duration,
+}
+
+/// Answer of a witness to an inquiry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Vote {
+    /// What the witness has seen.
+    pub seen: Seen,
+    /// Version in force at the witness.
+    pub version: Version,
+    /// Life of the witness's process.
+    pub incarnation: Incarnation,
+}
+
+/// What a witness has seen of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// Never seen, and now fenced.
+    Fenced,
+    /// A higher fence stands.
+    Outranked(Fence),
+    /// It ran to its end; the answer, if it is still held.
+    Done(Option<HttpResponse>),
+    /// It may have run, and nobody will know.
+    Lost,
+    /// The same key came with another request.
+    OtherRequest,
+    /// The witness is younger than the key and cannot say.
+    TooYoung,
+    /// The witness's configuration is older than the judge's.
+    Behind,
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,67 @@
+//! Words that every part of celeryshore shares: names, units, versions, one
+//! configuration snapshot and the messages of callers and targets.
+//!
+//! Every type here is plain data. Text becomes a typed value once, at the
+//! border, and is never parsed again:
+//!
+//! ```
+//! use celeryshore_model::Share;
+//! use celeryshore_model::ZoneName;
+//!
+//! let zone: ZoneName = "glasgow".parse()?;
+//! let ratio: Share = "10%".parse()?;
+//! assert_eq!(zone.as_str(), "glasgow");
+//! assert_eq!(ratio.of(200), 20);
+//! # Ok::<(), celeryshore_model::Error>(())
+//! ```
+
+mod digest;
+mod error;
+mod http;
+mod key;
+mod name;
+mod snapshot;
+mod time;
+mod unit;
+mod version;
+
+pub use crate::digest::Digest;
+pub use crate::error::Category;
+pub use crate::error::Error;
+pub use crate::error::Result;
+pub use crate::http::Header;
+pub use crate::http::HttpRequest;
+pub use crate::http::HttpResponse;
+pub use crate::key::RequestKey;
+pub use crate::name::KindName;
+pub use crate::name::RouteName;
+pub use crate::name::ServiceName;
+pub use crate::name::UpstreamName;
+pub use crate::name::VmName;
+pub use crate::name::ZoneName;
+pub use crate::snapshot::Kind;
+pub use crate::snapshot::KindId;
+pub use crate::snapshot::Limits;
+pub use crate::snapshot::Outages;
+pub use crate::snapshot::RetryPolicy;
+pub use crate::snapshot::Route;
+pub use crate::snapshot::RouteMatch;
+pub use crate::snapshot::Semantics;
+pub use crate::snapshot::Service;
+pub use crate::snapshot::Snapshot;
+pub use crate::snapshot::Split;
+pub use crate::snapshot::Upstream;
+pub use crate::snapshot::Zone;
+pub use crate::time::Now;
+pub use crate::time::Time;
+pub use crate::time::WallTime;
+pub use crate::unit::Attempt;
+pub use crate::unit::ByteSize;
+pub use crate::unit::Depth;
+pub use crate::unit::Share;
+pub use crate::unit::Slots;
+pub use crate::unit::Weight;
+pub use crate::version::Epoch;
+pub use crate::version::Incarnation;
+pub use crate::version::Index;
+pub use crate::version::Version;
--- /dev/null
+++ b/crates/model/src/unit.rs
@@ -0,0 +1,178 @@
+//! Counts, sizes and shares with their units.
+
+use std::fmt;
+use std::str::FromStr;
+
+use derive_more::Display;
+use serde::Serialize;
+
+use crate::Category;
+use crate::Error;
+use crate::Result;
+
+fn number<T: FromStr>(s: &str, expected: &'static str) -> Result<T> {
+    s.parse()
+        .map_err(|_| Error::new(Category::Unit, expected, s))
+}
+
+macro_rules! count {
+    ($(#[$doc:meta])* $name:ident($int:ty), $expected:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize,
+        )]
+        pub struct $name($int);
+
+        impl $name {
+            /// Makes the count.
+            #[must_use]
+            pub const fn new(count: $int) -> Self {
+                Self(count)
+            }
+
+            /// Returns the bare number.
+            #[must_use]
+            pub const fn get(self) -> $int {
+                self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(s: &str) -> Result<Self> {
+                number(s, $expected).map(Self)
+            }
+        }
+    };
+}
+
+count! {
+    /// Requests that may run or wait at one time.
+    Slots(u32), "a count of slots from 0 to 4294967295"
+}
+count! {
+    /// Relative weight of one service in a split route.
+    Weight(u32), "a weight from 0 to 4294967295"
+}
+count! {
+    /// How often a caller has sent one key: 1 for the first time.
+    Attempt(u32), "an attempt number from 1"
+}
+count! {
+    /// How many calls of the mesh lie between the first caller and this one.
+    Depth(u8), "a depth from 0 to 255"
+}
+
+/// A number of bytes.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_model::ByteSize;
+///
+/// let size: ByteSize = "64KiB".parse()?;
+/// assert_eq!(size.get(), 65_536);
+/// assert_eq!(size.to_string(), "64KiB");
+/// # Ok::<(), celeryshore_model::Error>(())
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+pub struct ByteSize(u64);
+
+const KIB: u64 = 1_024;
+const MIB: u64 = 1_024 * KIB;
+
+impl ByteSize {
+    /// Makes a size from bytes.
+    #[must_use]
+    pub const fn new(bytes: u64) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the number of bytes.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        const EXPECTED: &str = "a size such as 512B, 64KiB or 1MiB";
+        let units = [("KiB", KIB), ("MiB", MIB), ("B", 1)];
+        let split = units
+            .iter()
+            .find_map(|(unit, scale)| s.strip_suffix(unit).map(|n| (n, *scale)));
+        let (n, scale) = split.ok_or_else(|| Error::new(Category::Unit, EXPECTED, s))?;
+        let n: u64 = number(n, EXPECTED)?;
+        n.checked_mul(scale)
+            .map(Self)
+            .ok_or_else(|| Error::new(Category::Unit, EXPECTED, s))
+    }
+}
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            n if n > 0 && n % MIB == 0 => write!(f, "{}MiB", n / MIB),
+            n if n > 0 && n % KIB == 0 => write!(f, "{}KiB", n / KIB),
+            n => write!(f, "{n}B"),
+        }
+    }
+}
+
+/// A part of a whole, in thousandths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+pub struct Share(u32);
+
+impl Share {
+    /// Makes a share from thousandths.
+    #[must_use]
+    pub const fn from_per_mille(per_mille: u32) -> Self {
+        Self(per_mille)
+    }
+
+    /// Returns the share in thousandths.
+    #[must_use]
+    pub const fn per_mille(self) -> u32 {
+        self.0
+    }
+
+    /// Returns this share of `whole`, rounded down.
+    #[must_use]
+    pub const fn of(self, whole: u64) -> u64 {
+        whole * (self.0 as u64) / 1_000
+    }
+}
+
+impl FromStr for Share {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        const EXPECTED: &str = "a share such as 10% or 2.5%, at most 100%";
+        let err = || Error::new(Category::Unit, EXPECTED, s);
+        let n = s.strip_suffix('%').ok_or_else(err)?;
+        let (whole, tenths) = n.split_once('.').unwrap_or((n, "0"));
+        if tenths.len() != 1 {
+            return Err(err());
+        }
+        let whole: u32 = number(whole, EXPECTED)?;
+        let tenths: u32 = number(tenths, EXPECTED)?;
+        let per_mille = whole.saturating_mul(10).saturating_add(tenths);
+        if per_mille > 1_000 {
+            return Err(err());
+        }
+        Ok(Self(per_mille))
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 % 10 {
+            0 => write!(f, "{}%", self.0 / 10),
+            tenths => write!(f, "{}.{tenths}%", self.0 / 10),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
