Add the exchange protocol between nodes

Cause: the hand-over between two nodes had types but no bytes on the wire. Change: messages in exchange.proto, generated code committed, conversions to and from the typed messages, and length-delimited frames with a size bound.

--- /dev/null
+++ b/crates/wire/src/border.rs
@@ -0,0 +1,144 @@
+//! Conversions of the values that several messages share.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshore_model::Digest;
+use celeryshore_model::Epoch;
+use celeryshore_model::Header;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::HttpResponse;
+use celeryshore_model::Index;
+use celeryshore_model::KindId;
+use celeryshore_model::Version;
+
+use crate::Error;
+use crate::Result;
+use crate::generated::exchange as raw;
+
+/// Takes a field that has to be there.
+pub(crate) fn required<T>(value: Option<T>, field: &'static str) -> Result<T> {
+    value.ok_or_else(|| Error::missing(field))
+}
+
+/// Parses a name or a key.
+pub(crate) fn text<T>(value: &str) -> Result<T>
+where
+    T: FromStr<Err = celeryshore_model::Error>,
+{
+    Ok(value.parse()?)
+}
+
+pub(crate) fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
+pub(crate) fn digest(value: &[u8]) -> Result<Digest> {
+    Ok(Digest::from_slice(value)?)
+}
+
+pub(crate) fn raw_digest(value: &Digest) -> Bytes {
+    Bytes::copy_from_slice(value.as_bytes())
+}
+
+impl From<Version> for raw::Version {
+    fn from(version: Version) -> Self {
+        Self {
+            epoch: version.epoch.0,
+            index: version.index.0,
+            digest: raw_digest(&version.digest),
+        }
+    }
+}
+
+pub(crate) fn version(raw: Option<raw::Version>) -> Result<Version> {
+    let raw = required(raw, "version")?;
+    Ok(Version::new(
+        Epoch(raw.epoch),
+        Index(raw.index),
+        digest(&raw.digest)?,
+    ))
+}
+
+impl From<KindId> for raw::KindId {
+    fn from(id: KindId) -> Self {
+        Self {
+            service: id.service.to_string(),
+            kind: id.kind.to_string(),
+        }
+    }
+}
+
+pub(crate) fn kind(raw: Option<raw::KindId>) -> Result<KindId> {
+    let raw = required(raw, "kind")?;
+    Ok(KindId {
+        service: text(&raw.service)?,
+        kind: text(&raw.kind)?,
+    })
+}
+
+impl From<Header> for raw::Header {
+    fn from(header: Header) -> Self {
+        Self {
+            name: header.name,
+            value: header.value,
+        }
+    }
+}
+
+impl From<raw::Header> for Header {
+    fn from(raw: raw::Header) -> Self {
+        Self {
+            name: raw.name,
+            value: raw.value,
+        }
+    }
+}
+
+impl From<HttpRequest> for raw::HttpRequest {
+    fn from(req: HttpRequest) -> Self {
+        Self {
+            method: req.method,
+            host: req.host,
+            path: req.path,
+            headers: req.headers.into_iter().map(Into::into).collect(),
+            body: req.body,
+        }
+    }
+}
+
+impl From<raw::HttpRequest> for HttpRequest {
+    fn from(raw: raw::HttpRequest) -> Self {
+        Self {
+            method: raw.method,
+            host: raw.host,
+            path: raw.path,
+            headers: raw.headers.into_iter().map(Into::into).collect(),
+            body: raw.body,
+        }
+    }
+}
+
+impl From<HttpResponse> for raw::HttpResponse {
+    fn from(res: HttpResponse) -> Self {
+        Self {
+            status: res.status.into(),
+            headers: res.headers.into_iter().map(Into::into).collect(),
+            body: res.body,
+        }
+    }
+}
+
+impl TryFrom<raw::HttpResponse> for HttpResponse {
+    type Error = Error;
+
+    fn try_from(raw: raw::HttpResponse) -> Result<Self> {
+        let status = u16::try_from(raw.status).map_err(|_| Error::value("status"))?;
+        Ok(Self {
+            status,
+            headers: raw.headers.into_iter().map(Into::into).collect(),
+            body: raw.body,
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/reason.rs
@@ -0,0 +1,117 @@
+//! Conversions of reasons and phases.
+
+use celeryshore_kernel::NotRun;
+use celeryshore_kernel::Phase;
+use celeryshore_kernel::Unknown;
+
+use crate::Error;
+use crate::Result;
+use crate::generated::exchange as raw;
+
+impl From<NotRun> for raw::NotRunReason {
+    fn from(value: NotRun) -> Self {
+        match value {
+            NotRun::Overloaded => Self::Overloaded,
+            NotRun::ColdStart => Self::ColdStart,
+            NotRun::Leaving => Self::Leaving,
+            NotRun::OutOfService => Self::OutOfService,
+            NotRun::Behind => Self::Behind,
+            NotRun::NotHere => Self::NotHere,
+            NotRun::Deadline => Self::Deadline,
+            NotRun::Cancelled => Self::Cancelled,
+            NotRun::TargetDown => Self::TargetDown,
+            NotRun::Poison => Self::Poison,
+            NotRun::KeyReused => Self::KeyReused,
+            NotRun::KeyExpired => Self::KeyExpired,
+            NotRun::JournalFull => Self::JournalFull,
+            NotRun::NoUpstream => Self::NoUpstream,
+            NotRun::NoRoute => Self::NoRoute,
+            NotRun::Learning => Self::Learning,
+            NotRun::TooLarge => Self::TooLarge,
+            NotRun::TooDeep => Self::TooDeep,
+        }
+    }
+}
+
+impl TryFrom<raw::NotRunReason> for NotRun {
+    type Error = Error;
+
+    fn try_from(raw: raw::NotRunReason) -> Result<Self> {
+        match raw {
+            raw::NotRunReason::Overloaded => Ok(Self::Overloaded),
+            raw::NotRunReason::ColdStart => Ok(Self::ColdStart),
+            raw::NotRunReason::Leaving => Ok(Self::Leaving),
+            raw::NotRunReason::OutOfService => Ok(Self::OutOfService),
+            raw::NotRunReason::Behind => Ok(Self::Behind),
+            raw::NotRunReason::NotHere => Ok(Self::NotHere),
+            raw::NotRunReason::Deadline => Ok(Self::Deadline),
+            raw::NotRunReason::Cancelled => Ok(Self::Cancelled),
+            raw::NotRunReason::TargetDown => Ok(Self::TargetDown),
+            raw::NotRunReason::Poison => Ok(Self::Poison),
+            raw::NotRunReason::KeyReused => Ok(Self::KeyReused),
+            raw::NotRunReason::KeyExpired => Ok(Self::KeyExpired),
+            raw::NotRunReason::JournalFull => Ok(Self::JournalFull),
+            raw::NotRunReason::NoUpstream => Ok(Self::NoUpstream),
+            raw::NotRunReason::NoRoute => Ok(Self::NoRoute),
+            raw::NotRunReason::Learning => Ok(Self::Learning),
+            raw::NotRunReason::TooLarge => Ok(Self::TooLarge),
+            raw::NotRunReason::TooDeep => Ok(Self::TooDeep),
+            raw::NotRunReason::Unspecified => Err(Error::value("reason")),
+        }
+    }
+}
+
+impl From<Unknown> for raw::UnknownReason {
+    fn from(value: Unknown) -> Self {
+        match value {
+            Unknown::PeerLost => Self::PeerLost,
+            Unknown::TargetLost => Self::TargetLost,
+            Unknown::Deadline => Self::Deadline,
+            Unknown::WitnessUnreachable => Self::WitnessUnreachable,
+            Unknown::WitnessRestarted => Self::WitnessRestarted,
+            Unknown::Superseded => Self::Superseded,
+            Unknown::AnswerGone => Self::AnswerGone,
+        }
+    }
+}
+
+impl TryFrom<raw::UnknownReason> for Unknown {
+    type Error = Error;
+
+    fn try_from(raw: raw::UnknownReason) -> Result<Self> {
+        match raw {
+            raw::UnknownReason::PeerLost => Ok(Self::PeerLost),
+            raw::UnknownReason::TargetLost => Ok(Self::TargetLost),
+            raw::UnknownReason::Deadline => Ok(Self::Deadline),
+            raw::UnknownReason::WitnessUnreachable => Ok(Self::WitnessUnreachable),
+            raw::UnknownReason::WitnessRestarted => Ok(Self::WitnessRestarted),
+            raw::UnknownReason::Superseded => Ok(Self::Superseded),
+            raw::UnknownReason::AnswerGone => Ok(Self::AnswerGone),
+            raw::UnknownReason::Unspecified => Err(Error::value("reason")),
+        }
+    }
+}
+
+impl From<Phase> for raw::Phase {
+    fn from(value: Phase) -> Self {
+        match value {
+            Phase::Cold => Self::Cold,
+            Phase::Warming => Self::Warming,
+            Phase::Warm => Self::Warm,
+            Phase::Draining => Self::Draining,
+            Phase::Down => Self::Down,
+        }
+    }
+}
+
+impl From<raw::Phase> for Phase {
+    fn from(raw: raw::Phase) -> Self {
+        match raw {
+            raw::Phase::Cold => Self::Cold,
+            raw::Phase::Warming => Self::Warming,
+            raw::Phase::Warm => Self::Warm,
+            raw::Phase::Draining => Self::Draining,
+            raw::Phase::Down => Self::Down,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/request.rs
@@ -0,0 +1,209 @@
+//! First message of an exchange.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshore_kernel::Delivery;
+use celeryshore_kernel::Fence;
+use celeryshore_kernel::Handover;
+use celeryshore_kernel::Inquiry;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_model::Attempt;
+use celeryshore_model::Depth;
+
+use crate::Error;
+use crate::Result;
+use crate::border::digest;
+use crate::border::kind;
+use crate::border::micros;
+use crate::border::raw_digest;
+use crate::border::required;
+use crate::border::text;
+use crate::border::version;
+use crate::frame;
+use crate::generated::exchange as raw;
+use crate::generated::exchange::handover::Delivery as RawDelivery;
+use crate::generated::exchange::request_frame::Kind as RawKind;
+
+/// Frame from the node that opened the connection.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_wire::RequestFrame;
+///
+/// let frame = RequestFrame::Ping.encode();
+/// assert_eq!(RequestFrame::decode(frame)?, RequestFrame::Ping);
+/// # Ok::<(), celeryshore_wire::Error>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestFrame {
+    /// First message of an exchange.
+    Request(Box<PeerRequest>),
+    /// Asks whether an idle connection still works.
+    Ping,
+}
+
+impl RequestFrame {
+    /// Writes the frame with its length prefix.
+    #[must_use]
+    pub fn encode(self) -> Bytes {
+        let kind = match self {
+            Self::Ping => RawKind::Ping(raw::Ping {}),
+            Self::Request(request) => (*request).into(),
+        };
+        frame::encode(&raw::RequestFrame { kind: Some(kind) })
+    }
+
+    /// Reads a whole frame with its length prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the frame holds no message, or one with a value out of range.
+    pub fn decode(frame: Bytes) -> Result<Self> {
+        let raw: raw::RequestFrame = frame::decode(frame)?;
+        match required(raw.kind, "kind")? {
+            RawKind::Ping(raw::Ping {}) => Ok(Self::Ping),
+            RawKind::Handover(raw) => {
+                let handover = Handover::try_from(raw)?;
+                let request = PeerRequest::from(Box::new(handover));
+                Ok(Self::Request(Box::new(request)))
+            }
+            RawKind::Inquiry(raw) => {
+                let request = PeerRequest::from(Inquiry::try_from(raw)?);
+                Ok(Self::Request(Box::new(request)))
+            }
+        }
+    }
+}
+
+impl From<PeerRequest> for RawKind {
+    fn from(request: PeerRequest) -> Self {
+        match request {
+            PeerRequest::Handover(handover) => Self::Handover((*handover).into()),
+            PeerRequest::Inquiry(inquiry) => Self::Inquiry(inquiry.into()),
+        }
+    }
+}
+
+impl From<Handover> for raw::Handover {
+    fn from(handover: Handover) -> Self {
+        Self {
+            from: handover.from.to_string(),
+            version: Some(handover.version.into()),
+            upstream: handover.upstream.to_string(),
+            kind: Some(handover.kind.into()),
+            delivery: Some(handover.delivery.into()),
+            remaining_micros: micros(handover.remaining),
+            depth: handover.depth.get().into(),
+            fingerprint: raw_digest(&handover.fingerprint),
+            casualties: handover
+                .casualties
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+            request: Some(handover.request.into()),
+        }
+    }
+}
+
+impl TryFrom<raw::Handover> for Handover {
+    type Error = Error;
+
+    fn try_from(raw: raw::Handover) -> Result<Self> {
+        let depth = u8::try_from(raw.depth).map_err(|_| Error::value("depth"))?;
+        let casualties: Result<_> = raw.casualties.iter().map(|vm| text(vm)).collect();
+        Ok(Self {
+            from: text(&raw.from)?,
+            version: version(raw.version)?,
+            upstream: text(&raw.upstream)?,
+            kind: kind(raw.kind)?,
+            delivery: required(raw.delivery, "delivery")?.try_into()?,
+            remaining: Duration::from_micros(raw.remaining_micros),
+            depth: Depth::new(depth),
+            fingerprint: digest(&raw.fingerprint)?,
+            casualties: casualties?,
+            request: required(raw.request, "request")?.into(),
+        })
+    }
+}
+
+impl From<Delivery> for RawDelivery {
+    fn from(delivery: Delivery) -> Self {
+        match delivery {
+            Delivery::Repeatable => Self::Repeatable(raw::Repeatable {}),
+            Delivery::Once => Self::Once(raw::Once {}),
+            Delivery::Keyed { key, attempt } => Self::Keyed(raw::Keyed {
+                key: key.to_string(),
+                attempt: attempt.map(Attempt::get),
+            }),
+        }
+    }
+}
+
+impl TryFrom<RawDelivery> for Delivery {
+    type Error = Error;
+
+    fn try_from(raw: RawDelivery) -> Result<Self> {
+        match raw {
+            RawDelivery::Repeatable(_) => Ok(Self::Repeatable),
+            RawDelivery::Once(_) => Ok(Self::Once),
+            RawDelivery::Keyed(keyed) => Ok(Self::Keyed {
+                key: text(&keyed.key)?,
+                attempt: keyed.attempt.map(Attempt::new),
+            }),
+        }
+    }
+}
+
+impl From<Inquiry> for raw::Inquiry {
+    fn from(inquiry: Inquiry) -> Self {
+        Self {
+            from: inquiry.from.to_string(),
+            version: Some(inquiry.version.into()),
+            kind: Some(inquiry.kind.into()),
+            key: inquiry.key.to_string(),
+            fingerprint: raw_digest(&inquiry.fingerprint),
+            fence: Some(inquiry.fence.into()),
+            remaining_micros: micros(inquiry.remaining),
+        }
+    }
+}
+
+impl TryFrom<raw::Inquiry> for Inquiry {
+    type Error = Error;
+
+    fn try_from(raw: raw::Inquiry) -> Result<Self> {
+        Ok(Self {
+            from: text(&raw.from)?,
+            version: version(raw.version)?,
+            kind: kind(raw.kind)?,
+            key: text(&raw.key)?,
+            fingerprint: digest(&raw.fingerprint)?,
+            fence: required(raw.fence, "fence")?.try_into()?,
+            remaining: Duration::from_micros(raw.remaining_micros),
+        })
+    }
+}
+
+impl From<Fence> for raw::Fence {
+    fn from(fence: Fence) -> Self {
+        Self {
+            attempt: fence.attempt.get(),
+            sequence: fence.sequence,
+            judge: fence.judge.to_string(),
+        }
+    }
+}
+
+impl TryFrom<raw::Fence> for Fence {
+    type Error = Error;
+
+    fn try_from(raw: raw::Fence) -> Result<Self> {
+        Ok(Self {
+            attempt: Attempt::new(raw.attempt),
+            sequence: raw.sequence,
+            judge: text(&raw.judge)?,
+        })
+    }
+}
