--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,1 +1,52 @@
-//! Placeholder.
+//! Rules file of celeryshore.
+//!
+//! Operators write one rule a line, each with a comment that says who asked
+//! for it. This crate turns the text into a [`Snapshot`], whole or not at all:
+//!
+//! ```
+//! use celeryshore_model::Index;
+//!
+//! let text = "\
+//! epoch 1  # operations
+//! zone glasgow region=scotland  # operations
+//! service ordering slots=6 connections=110  # A. Baird
+//! ";
+//! let snapshot = celeryshore_rules::from_str(text, Index(7))?;
+//! assert_eq!(snapshot.services.len(), 1);
+//! # Ok::<(), celeryshore_rules::Error>(())
+//! ```
+//!
+//! Judging depends on the content alone, so that every node accepts or refuses
+//! a text alike.
+//!
+//! [`Snapshot`]: celeryshore_model::Snapshot
+
+mod draft;
+mod epoch;
+mod error;
+mod kind;
+mod line;
+mod outage;
+mod parse;
+mod problem;
+mod retry;
+mod route;
+mod router;
+mod rule;
+mod service;
+mod split;
+mod symbol;
+mod upstream;
+mod value;
+mod zone;
+
+pub use crate::error::Category;
+pub use crate::error::Error;
+pub use crate::error::Result;
+pub use crate::parse::from_slice;
+pub use crate::parse::from_str;
+pub use crate::problem::Place;
+pub use crate::problem::Problem;
+pub use crate::router::Router;
+pub use crate::rule::RuleKind;
+pub use crate::rule::rule_kinds;
--- /dev/null
+++ b/crates/rules/src/line.rs
@@ -0,0 +1,144 @@
+//! One line of a rules text, split into words.
+
+use std::ops::Range;
+
+use winnow::LocatingSlice;
+use winnow::Parser;
+use winnow::ascii::space0;
+use winnow::ascii::space1;
+use winnow::combinator::opt;
+use winnow::combinator::preceded;
+use winnow::combinator::repeat;
+use winnow::error::ContextError;
+use winnow::error::ErrMode;
+use winnow::token::rest;
+use winnow::token::take_while;
+
+use crate::Place;
+use crate::Problem;
+
+const ITEM: &str = "a word, `key=value` or `# who asked`";
+const COMMENT: &str = "`# who asked`";
+const END: &str = "the end of the line";
+
+type Input<'a> = LocatingSlice<&'a str>;
+
+/// A word and where it stands.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Word<'a> {
+    pub(crate) place: Place,
+    pub(crate) text: &'a str,
+}
+
+/// A bare word, or a key with its value.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Item<'a> {
+    pub(crate) key: Word<'a>,
+    pub(crate) value: Option<Word<'a>>,
+}
+
+/// A rule, before its words are given a meaning.
+#[derive(Debug)]
+pub(crate) struct Line<'a> {
+    pub(crate) keyword: Word<'a>,
+    pub(crate) items: Vec<Item<'a>>,
+    pub(crate) end: Place,
+}
+
+impl<'a> Line<'a> {
+    /// Returns the bare words after the keyword.
+    pub(crate) fn bare(&self) -> impl Iterator<Item = Word<'a>> {
+        let bare = self.items.iter().filter(|item| item.value.is_none());
+        bare.map(|item| item.key)
+    }
+
+    /// Returns the keys with their values.
+    pub(crate) fn pairs(&self) -> impl Iterator<Item = (Word<'a>, Word<'a>)> {
+        let pair = |item: &Item<'a>| item.value.map(|value| (item.key, value));
+        self.items.iter().filter_map(pair)
+    }
+
+    /// Returns the value of a key.
+    pub(crate) fn value(&self, key: &str) -> Option<Word<'a>> {
+        let mut pairs = self.pairs();
+        pairs.find(|(k, _)| k.text == key).map(|(_, value)| value)
+    }
+}
+
+/// Splits a line and records its faults. A blank line or a pure comment gives
+/// nothing.
+pub(crate) fn split<'a>(
+    number: usize,
+    text: &'a str,
+    problems: &mut Vec<Problem>,
+) -> Option<Line<'a>> {
+    let body = text.trim_start();
+    if body.is_empty() || body.starts_with('#') {
+        return None;
+    }
+    let comment = opt(preceded('#', rest));
+    let (line, comment) = (rule(number), comment)
+        .parse(LocatingSlice::new(text))
+        .map_err(|err| problems.push(unexpected(number, text, err.offset())))
+        .ok()?;
+    match comment.map(str::trim) {
+        Some("") => problems.push(Problem::new(line.end, COMMENT, "an empty comment")),
+        None => problems.push(Problem::new(line.end, COMMENT, END)),
+        Some(_) => {}
+    }
+    Some(line)
+}
+
+fn unexpected(line: usize, text: &str, offset: usize) -> Problem {
+    let found = text.get(offset..).and_then(|tail| tail.chars().next());
+    let found = found.map_or(END.to_owned(), |c| format!("{c:?}"));
+    Problem::new(place(line, offset), ITEM, found)
+}
+
+fn rule<'a>(number: usize) -> impl Parser<Input<'a>, Line<'a>, ErrMode<ContextError>> {
+    move |input: &mut Input<'a>| {
+        let keyword = preceded(space0, word(number)).parse_next(input)?;
+        let items = repeat(0.., preceded(space1, item(number))).parse_next(input)?;
+        let gap: Range<usize> = space0.span().parse_next(input)?;
+        let end = place(number, gap.end);
+        Ok(Line {
+            keyword,
+            items,
+            end,
+        })
+    }
+}
+
+fn item<'a>(number: usize) -> impl Parser<Input<'a>, Item<'a>, ErrMode<ContextError>> {
+    let value = opt(preceded('=', word_or_equals(number)));
+    (word(number), value).map(|(key, value)| Item { key, value })
+}
+
+fn word<'a>(number: usize) -> impl Parser<Input<'a>, Word<'a>, ErrMode<ContextError>> {
+    token(number, |c| c != '=')
+}
+
+fn word_or_equals<'a>(number: usize) -> impl Parser<Input<'a>, Word<'a>, ErrMode<ContextError>> {
+    token(number, |_| true)
+}
+
+fn token<'a>(
+    number: usize,
+    accepts: fn(char) -> bool,
+) -> impl Parser<Input<'a>, Word<'a>, ErrMode<ContextError>> {
+    take_while(1.., move |c: char| {
+        !c.is_whitespace() && c != '#' && accepts(c)
+    })
+    .with_span()
+    .map(move |(text, span): (&str, Range<usize>)| Word {
+        place: place(number, span.start),
+        text,
+    })
+}
+
+fn place(line: usize, offset: usize) -> Place {
+    Place {
+        line,
+        column: offset + 1,
+    }
+}
--- /dev/null
+++ b/crates/rules/src/parse.rs
@@ -0,0 +1,130 @@
+//! From a rules text to a snapshot.
+
+use std::collections::HashMap;
+
+use celeryshore_model::Digest;
+use celeryshore_model::Index;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Version;
+
+use crate::Error;
+use crate::Place;
+use crate::Problem;
+use crate::Result;
+use crate::draft::Draft;
+use crate::line;
+use crate::rule::RuleKind;
+use crate::rule::rule_kinds;
+
+type RuleKinds = HashMap<&'static str, &'static RuleKind>;
+
+/// Parses a rules text that the platform gave under a modification index.
+///
+/// # Errors
+///
+/// Fails if any line is refused or refers to something that no line defines;
+/// the error holds every fault.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_model::Epoch;
+/// use celeryshore_model::Index;
+///
+/// let snapshot = celeryshore_rules::from_slice(b"epoch 2  # operations\n", Index(7))?;
+/// assert_eq!(snapshot.version.epoch, Epoch(2));
+/// assert_eq!(snapshot.version.index, Index(7));
+/// # Ok::<(), celeryshore_rules::Error>(())
+/// ```
+pub fn from_slice(text: &[u8], index: Index) -> Result<Snapshot> {
+    let chars = std::str::from_utf8(text).map_err(|err| not_utf8(text, err.valid_up_to()))?;
+    from_str(chars, index)
+}
+
+fn not_utf8(text: &[u8], offset: usize) -> Error {
+    let before = &text[..offset];
+    let mut lines = before.split(|b| *b == b'\n');
+    let place = Place {
+        line: lines.clone().count(),
+        column: lines.next_back().map_or(0, <[u8]>::len) + 1,
+    };
+    let problem = Problem::new(place, "UTF-8", "another byte");
+    Error::rules(vec![problem])
+}
+
+/// Parses a rules text, like [`from_slice`].
+///
+/// # Errors
+///
+/// Fails if any line is refused or refers to something that no line defines;
+/// the error holds every fault.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_model::Index;
+///
+/// let text = "epoch 1  # operations\nout zone=glasgow  # operations\n";
+/// let err = celeryshore_rules::from_str(text, Index(1)).unwrap_err();
+/// assert_eq!(
+///     err.to_string(),
+///     "rules:2:10: expected a zone that some line defines, found \"glasgow\"",
+/// );
+/// ```
+pub fn from_str(text: &str, index: Index) -> Result<Snapshot> {
+    let kinds = rule_kinds().map(|kind| (kind.keyword, kind)).collect();
+    let mut draft = Draft::default();
+    for (i, line) in text.lines().enumerate() {
+        read_line(i + 1, line, &kinds, &mut draft);
+    }
+    draft.resolve();
+    if !draft.problems.is_empty() {
+        draft.problems.sort_by_key(|problem| problem.place);
+        return Err(Error::rules(draft.problems));
+    }
+    let digest = Digest::of(text.as_bytes());
+    Ok(assemble(draft, index, digest))
+}
+
+fn read_line<'a>(number: usize, text: &'a str, kinds: &RuleKinds, draft: &mut Draft<'a>) {
+    let Some(line) = line::split(number, text, &mut draft.problems) else {
+        return;
+    };
+    let Some(kind) = kinds.get(line.keyword.text) else {
+        draft.fault(line.keyword.place, keywords(kinds), line.keyword.text);
+        return;
+    };
+    kind.check_keys(&line, draft);
+    (kind.parse)(&line, draft);
+}
+
+fn keywords(kinds: &RuleKinds) -> String {
+    let mut keywords: Vec<_> = kinds.keys().copied().collect();
+    keywords.sort_unstable();
+    format!("one of {}", keywords.join(", "))
+}
+
+fn assemble(draft: Draft<'_>, index: Index, digest: Digest) -> Snapshot {
+    let mut snapshot = draft.snapshot;
+    snapshot.version = Version::new(draft.epoch, index, digest);
+    for (service, kind) in draft.kinds {
+        if let Some(service) = snapshot.services.get_mut(&service) {
+            service.kinds.insert(kind.name.clone(), kind);
+        }
+    }
+    for (service, retry) in draft.retries {
+        if let Some(service) = snapshot.services.get_mut(&service) {
+            service.retry = retry;
+        }
+    }
+    for upstream in snapshot.upstreams.values() {
+        if let Some(service) = snapshot.services.get_mut(&upstream.service) {
+            service.upstreams.push(upstream.name.clone());
+        }
+    }
+    let mut splits = draft.splits;
+    for route in &mut snapshot.routes {
+        route.splits = splits.remove(&route.name).unwrap_or_default();
+    }
+    snapshot
+}
--- /dev/null
+++ b/crates/rules/src/retry.rs
@@ -0,0 +1,47 @@
+//! The rule `retry`: when the mesh itself sends a request again.
+
+use celeryshore_model::RetryPolicy;
+use celeryshore_model::ServiceName;
+use celeryshore_model::Share;
+
+use crate::draft::Draft;
+use crate::line::Line;
+use crate::rule::Keys;
+use crate::rule::RuleKind;
+use crate::symbol::Symbol;
+use crate::value::Attempts;
+
+/// Policy of a service without a `retry` rule.
+pub(crate) const DEFAULT: RetryPolicy = RetryPolicy {
+    attempts: 2,
+    budget: Share::from_per_mille(100),
+};
+
+inventory::submit! {
+    RuleKind {
+        keyword: "retry",
+        usage: "retry SERVICE [attempts=N] [budget=SHARE]",
+        keys: Keys::Only(&["attempts", "budget"]),
+        parse,
+    }
+}
+
+fn parse<'a>(line: &Line<'a>, draft: &mut Draft<'a>) {
+    if let Some((service, policy)) = retry(line, draft) {
+        draft.retries.insert(service, policy);
+    }
+}
+
+fn retry<'a>(line: &Line<'a>, draft: &mut Draft<'a>) -> Option<(ServiceName, RetryPolicy)> {
+    let word = draft.subject(line)?;
+    draft.define(word, Symbol::Retry(word.text));
+    draft.refer(word, Symbol::Service(word.text));
+    let service = draft.parse(word);
+    let attempts = draft.optional(line, "attempts", Attempts(DEFAULT.attempts));
+    let budget = draft.optional(line, "budget", DEFAULT.budget);
+    let policy = RetryPolicy {
+        attempts: attempts?.0,
+        budget: budget?,
+    };
+    Some((service?, policy))
+}
