--- a/crates/rules/src/draft.rs
+++ b/crates/rules/src/draft.rs
@@ -17,6 +17,9 @@
 use crate::symbol::Symbol;
 use crate::value::Value;
 
+const SYMBOLS_PER_LINE: usize = 4;
+const REFERENCES_PER_LINE: usize = 2;
+
 /// What the lines of a text say, and what is wrong with them.
 #[derive(Debug, Default)]
 pub(crate) struct Draft<'a> {
@@ -33,6 +36,15 @@
 }
 
 impl<'a> Draft<'a> {
+    /// Makes an empty draft with room for the symbols of some lines.
+    pub(crate) fn with_capacity(lines: usize) -> Self {
+        Self {
+            symbols: HashMap::with_capacity(lines * SYMBOLS_PER_LINE),
+            references: Vec::with_capacity(lines * REFERENCES_PER_LINE),
+            ..Self::default()
+        }
+    }
+
     /// Records a fault.
     pub(crate) fn fault(&mut self, place: Place, expected: impl Into<String>, found: &str) {
         let found = format!("{found:?}");
--- a/crates/rules/src/parse.rs
+++ b/crates/rules/src/parse.rs
@@ -73,7 +73,7 @@
 /// ```
 pub fn from_str(text: &str, index: Index) -> Result<Snapshot> {
     let kinds = rule_kinds().map(|kind| (kind.keyword, kind)).collect();
-    let mut draft = Draft::default();
+    let mut draft = Draft::with_capacity(text.lines().count());
     for (i, line) in text.lines().enumerate() {
         read_line(i + 1, line, &kinds, &mut draft);
     }
