Add deltas, configurations in parts and compression

Cause: changes travel between nodes as deltas, and the platform holds values of at most a megabyte. Change: line edits around lines that stand once in both texts, found in n log n time without a clock, with the digests of base and result; lists of parts whose keys hold their digests; deflate with a bound on the result. Ruled out: a shortest edit script, whose time grows with the product of both texts when they differ much. Conclusion: an encoded delta is proved equal to the full text before use.

--- a/crates/rules/examples/parse_time.rs
+++ b/crates/rules/examples/parse_time.rs
@@ -1,4 +1,5 @@
-//! Measures how long a large rules text takes to parse, and its routes to find.
+//! Measures how long a large rules text takes to parse and to change, and
+//! its routes to find.
 //!
 //! Run with `cargo run --release -p celeryshore-rules --example parse_time`.
 
@@ -9,6 +10,7 @@
 
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Index;
+use celeryshore_rules::Delta;
 use celeryshore_rules::Router;
 
 const SERVICES: u32 = 2_000;
@@ -31,6 +33,25 @@
     }
     println!("router: {:?}", start.elapsed() / ROUNDS);
     time_lookups(&Router::new(snapshot));
+    time_deltas(&text)
+}
+
+fn time_deltas(text: &str) -> celeryshore_rules::Result<()> {
+    let result = text.replace("u9000 service=s1000", "u9000 service=s1001");
+    let result = result.replace("r7 path=/s7", "r7 path=/t7");
+    let start = Instant::now();
+    let delta = Delta::between(text.as_bytes(), result.as_bytes());
+    println!(
+        "delta: {:?}, {} bytes",
+        start.elapsed(),
+        delta.to_vec().len()
+    );
+    let start = Instant::now();
+    delta.apply(text.as_bytes())?;
+    println!("apply: {:?}", start.elapsed());
+    let start = Instant::now();
+    let packed = celeryshore_rules::pack(text.as_bytes());
+    println!("pack: {:?}, {} bytes", start.elapsed(), packed.len());
     Ok(())
 }
 
--- a/crates/rules/src/error.rs
+++ b/crates/rules/src/error.rs
@@ -57,6 +57,14 @@
         Self::from_inner(Category::Rules, problems, "rules without faults")
     }
 
+    pub(crate) fn manifest(problems: Vec<Problem>) -> Self {
+        Self::from_inner(Category::Manifest, problems, "a list without faults")
+    }
+
+    pub(crate) fn new(category: Category, expected: &'static str) -> Self {
+        Self::from_inner(category, Vec::new(), expected)
+    }
+
     fn from_inner(category: Category, problems: Vec<Problem>, expected: &'static str) -> Self {
         let inner = Inner {
             category,
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -21,12 +21,16 @@
 //!
 //! [`Snapshot`]: celeryshore_model::Snapshot
 
+mod anchor;
+mod delta;
 mod draft;
 mod epoch;
 mod error;
 mod kind;
 mod line;
+mod manifest;
 mod outage;
+mod pack;
 mod parse;
 mod problem;
 mod retry;
@@ -40,9 +44,19 @@
 mod value;
 mod zone;
 
+pub use crate::delta::Delta;
+pub use crate::delta::MAX_DELTA_BYTES;
 pub use crate::error::Category;
 pub use crate::error::Error;
 pub use crate::error::Result;
+pub use crate::manifest::MAX_PART_BYTES;
+pub use crate::manifest::MAX_TEXT_BYTES;
+pub use crate::manifest::Manifest;
+pub use crate::manifest::Part;
+pub use crate::manifest::SplitText;
+pub use crate::manifest::split;
+pub use crate::pack::pack;
+pub use crate::pack::unpack;
 pub use crate::parse::from_slice;
 pub use crate::parse::from_str;
 pub use crate::problem::Place;
--- /dev/null
+++ b/crates/rules/src/manifest.rs
@@ -0,0 +1,177 @@
+//! Configurations that come in parts.
+//!
+//! The platform holds values up to a megabyte. A larger text is published in
+//! parts, and the main value then lists their keys and digests. A part's key
+//! holds its digest, so that publishing a new text never changes a part of the
+//! text in force; the main value is published last.
+
+use std::str::FromStr;
+
+use bytes::Bytes;
+use celeryshore_model::Digest;
+
+use crate::Category;
+use crate::Error;
+use crate::Problem;
+use crate::Result;
+use crate::line;
+use crate::line::Line;
+
+/// Largest text that is accepted, whole.
+pub const MAX_TEXT_BYTES: usize = 8 * 1_024 * 1_024;
+
+/// Largest part that [`split`] makes; the platform holds up to a megabyte.
+pub const MAX_PART_BYTES: usize = 900_000;
+
+const MAX_PARTS: usize = 64;
+const KEYWORD: &str = "part";
+const LINE: &str = "`part KEY DIGEST`";
+
+/// One part of a text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Key of the value that holds the part.
+    pub key: String,
+    /// Digest of the part.
+    pub digest: Digest,
+}
+
+/// List of the parts of a text, in their order.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_rules::Manifest;
+///
+/// let text = "epoch 1  # ops\nzone perth region=scotland  # ops\n";
+/// let split = celeryshore_rules::split(text.as_bytes(), 20, "ops");
+/// let manifest = Manifest::from_slice(&split.manifest).unwrap()?;
+/// let parts: Vec<_> = split.parts.iter().map(|(_, part)| part.clone()).collect();
+/// assert_eq!(manifest.parts().len(), 2);
+/// assert_eq!(manifest.join(&parts)?, text);
+/// assert!(Manifest::from_slice(text.as_bytes()).is_none());
+/// # Ok::<(), celeryshore_rules::Error>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Manifest {
+    parts: Vec<Part>,
+}
+
+impl Manifest {
+    /// Reads a list of parts. A value that is a rules text itself gives nothing:
+    /// its first rule is no `part`.
+    #[must_use]
+    pub fn from_slice(value: &[u8]) -> Option<Result<Self>> {
+        let first = value.split(|b| *b == b'\n').map(<[u8]>::trim_ascii_start);
+        let mut first = first.filter(|line| !line.is_empty() && !line.starts_with(b"#"));
+        let rest = first.next()?.strip_prefix(KEYWORD.as_bytes())?;
+        let is_word = rest.first().is_none_or(u8::is_ascii_whitespace);
+        is_word.then(|| std::str::from_utf8(value).map_or_else(|_| Err(not_utf8()), str::parse))
+    }
+
+    /// Returns the parts in their order.
+    #[must_use]
+    pub fn parts(&self) -> &[Part] {
+        &self.parts
+    }
+
+    /// Joins the values of the parts, given in their order, to the whole text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part is missing or not the one listed, or if the text is too
+    /// long.
+    pub fn join(&self, values: &[Bytes]) -> Result<Bytes> {
+        let digests = values.iter().map(|value| Digest::of(value));
+        if !digests.eq(self.parts.iter().map(|part| part.digest)) {
+            let expected = "every part, with the digest listed";
+            return Err(Error::new(Category::Manifest, expected));
+        }
+        if values.iter().map(Bytes::len).sum::<usize>() > MAX_TEXT_BYTES {
+            return Err(Error::new(Category::Manifest, "a text of at most 8 MiB"));
+        }
+        Ok(values.concat().into())
+    }
+}
+
+fn not_utf8() -> Error {
+    Error::new(Category::Manifest, "UTF-8")
+}
+
+impl FromStr for Manifest {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mut problems = Vec::new();
+        let mut parts = Vec::new();
+        for (i, text) in text.lines().enumerate() {
+            if let Some(line) = line::split(i + 1, text, &mut problems) {
+                parts.extend(part(&line, &mut problems));
+            }
+        }
+        if !problems.is_empty() {
+            return Err(Error::manifest(problems));
+        }
+        if parts.len() > MAX_PARTS {
+            return Err(Error::new(Category::Manifest, "at most 64 parts"));
+        }
+        Ok(Self { parts })
+    }
+}
+
+fn part(line: &Line<'_>, problems: &mut Vec<Problem>) -> Option<Part> {
+    let words: Vec<_> = line.bare().collect();
+    if line.keyword.text != KEYWORD || words.len() != 2 || line.items.len() != 2 {
+        let found = format!("{:?}", line.keyword.text);
+        problems.push(Problem::new(line.keyword.place, LINE, found));
+        return None;
+    }
+    let Ok(digest) = words[1].text.parse() else {
+        let found = format!("{:?}", words[1].text);
+        let problem = Problem::new(words[1].place, "a digest in 64 hexadecimal digits", found);
+        problems.push(problem);
+        return None;
+    };
+    Some(Part {
+        key: words[0].text.to_owned(),
+        digest,
+    })
+}
+
+/// A text in parts, to be published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SplitText {
+    /// The main value.
+    pub manifest: Bytes,
+    /// Keys and values of the parts.
+    pub parts: Vec<(String, Bytes)>,
+}
+
+/// Splits a text at line ends into parts of at most `bound` bytes each, as far
+/// as its lines are not longer. `who` asked for it, says each line of the list.
+#[must_use]
+pub fn split(text: &[u8], bound: usize, who: &str) -> SplitText {
+    let mut parts = Vec::new();
+    let mut part: Vec<u8> = Vec::new();
+    for line in text.split_inclusive(|b| *b == b'\n') {
+        if !part.is_empty() && part.len() + line.len() > bound {
+            parts.push(std::mem::take(&mut part));
+        }
+        part.extend(line);
+    }
+    parts.push(part);
+    let parts: Vec<_> = parts.into_iter().map(keyed).collect();
+    let manifest: String = parts.iter().map(|part| list(part, who)).collect();
+    SplitText {
+        manifest: manifest.into(),
+        parts,
+    }
+}
+
+fn keyed(part: Vec<u8>) -> (String, Bytes) {
+    (format!("part-{}", Digest::of(&part)), part.into())
+}
+
+fn list((key, value): &(String, Bytes), who: &str) -> String {
+    format!("{KEYWORD} {key} {}  # {who}\n", Digest::of(value))
+}
