--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -145,9 +145,6 @@
     /// The same key came with another request.
     #[display("key-reused")]
     KeyReused,
-    /// The key is older than the time for which keys are remembered.
-    #[display("key-expired")]
-    KeyExpired,
     /// The journal has no room for another key.
     #[display("journal-full")]
     JournalFull,
@@ -190,6 +187,12 @@
     /// Another copy of the key is being judged or has taken its place.
     #[display("superseded")]
     Superseded,
+    /// The key is older than the time for which keys are judged.
+    #[display("key-expired")]
+    KeyExpired,
+    /// The resend was refused before anybody judged whether an earlier copy ran.
+    #[display("not-judged")]
+    NotJudged,
     /// It ran, but its answer is no longer held.
     #[display("answer-gone")]
     AnswerGone,
@@ -283,7 +286,7 @@
     Lost,
     /// The same key came with another request.
     OtherRequest,
-    /// The witness is younger than the key and cannot say.
+    /// The witness is younger than the key, or has no room for a fence, and cannot say.
     TooYoung,
     /// The witness's configuration is older than the judge's.
     Behind,
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions about requests: routing, admission, retries, at most once.
 
 mod event;
+mod journal;
 
 use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
@@ -16,6 +17,13 @@
 pub use self::event::RequestAction;
 pub use self::event::RequestEvent;
 pub use self::event::WorkId;
+pub use self::journal::Begin;
+pub use self::journal::Journal;
+pub use self::journal::JournalConfig;
+pub use self::journal::KeyOutcome;
+pub use self::journal::KeyedCopy;
+pub use self::journal::Standing;
+pub use self::journal::Witness;
 
 /// What a node knows of itself before it knows any configuration.
 #[derive(Clone, Debug)]
