--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -1,13 +1,120 @@
 //! One node's decisions, joined.
 
+use celeryshore_model::Now;
+use derive_more::From;
+
 use crate::Fleet;
+use crate::FleetAction;
+use crate::FleetConfig;
+use crate::FleetEvent;
+use crate::RequestAction;
+use crate::RequestEvent;
 use crate::Requests;
+use crate::RequestsConfig;
+
+/// What a node knows when it starts.
+#[derive(Clone, Debug)]
+pub struct KernelConfig {
+    /// For membership and configuration.
+    pub fleet: FleetConfig,
+    /// For requests.
+    pub requests: RequestsConfig,
+}
+
+/// What can happen to a node.
+#[derive(Clone, Debug, From)]
+pub enum Event {
+    /// To membership and configuration.
+    Fleet(FleetEvent),
+    /// To requests.
+    Request(RequestEvent),
+}
+
+/// What a node is to do.
+#[derive(Clone, Debug, From)]
+pub enum Action {
+    /// For membership and configuration.
+    Fleet(FleetAction),
+    /// For requests.
+    Request(RequestAction),
+}
 
 /// Decisions of one node: fleet and requests.
+///
+/// A configuration that comes into force and changes of members go from the
+/// fleet to the requests, and a request under a newer version makes the fleet
+/// catch up, without help of the driver.
 #[derive(Debug)]
 pub struct Kernel {
     /// Membership and configuration.
     pub fleet: Fleet,
     /// Requests.
     pub requests: Requests,
+    fleet_buf: Vec<FleetAction>,
+    request_buf: Vec<RequestAction>,
+}
+
+impl Kernel {
+    /// Makes the decisions of a process that starts now and knows nothing.
+    ///
+    /// The driver sends one tick to each part at once, and then when asked.
+    #[must_use]
+    pub fn new(cfg: KernelConfig, now: Now) -> Self {
+        Self {
+            fleet: Fleet::new(cfg.fleet, now),
+            requests: Requests::new(cfg.requests, now),
+            fleet_buf: Vec::new(),
+            request_buf: Vec::new(),
+        }
+    }
+
+    /// Takes one event and appends what is to be done to `actions`.
+    pub fn handle(&mut self, now: Now, event: Event, actions: &mut Vec<Action>) {
+        self.fleet.observe(now, &mut self.fleet_buf);
+        match event {
+            Event::Fleet(event) => self.fleet.handle(now, event, &mut self.fleet_buf),
+            Event::Request(event) => self.on_request(now, event),
+        }
+        self.settle(now, actions);
+    }
+
+    fn on_request(&mut self, now: Now, event: RequestEvent) {
+        if matches!(event, RequestEvent::Drain) {
+            self.fleet
+                .handle(now, FleetEvent::Drain, &mut self.fleet_buf);
+        }
+        self.requests.handle(now, event, &mut self.request_buf);
+    }
+
+    /// Carries actions of each part that are events of the other.
+    fn settle(&mut self, now: Now, actions: &mut Vec<Action>) {
+        while !self.fleet_buf.is_empty() || !self.request_buf.is_empty() {
+            for action in std::mem::take(&mut self.fleet_buf) {
+                if let Some(event) = request_event(&action) {
+                    self.requests.handle(now, event, &mut self.request_buf);
+                }
+                actions.push(action.into());
+            }
+            for action in std::mem::take(&mut self.request_buf) {
+                match action {
+                    RequestAction::CatchUp { version, from } => {
+                        let event = FleetEvent::CatchUp { version, from };
+                        self.fleet.handle(now, event, &mut self.fleet_buf);
+                    }
+                    action => actions.push(action.into()),
+                }
+            }
+        }
+    }
+}
+
+fn request_event(action: &FleetAction) -> Option<RequestEvent> {
+    match action {
+        FleetAction::Configured(snapshot) => Some(RequestEvent::Configured(snapshot.clone())),
+        FleetAction::Member { vm, state } => Some(RequestEvent::Member {
+            vm: vm.clone(),
+            state: *state,
+        }),
+        _ => None,
+    }
 }
