Route requests, hand them over and admit them

Cause: the interface of the request decisions had no behaviour, and the node process and the scenarios need a path to drive. Ruled out: a socket to the own node for requests that stay local; they take the same messages through a loopback queue. Change: routing by the first match, choice of the upstream by zone and load, hand-over with version check, slots with a short queue, deadlines at both nodes, and one final answer for each call. NotRun gains BadKey, since a malformed key had no true reason of its own.

--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -142,6 +142,9 @@
     /// Targets were lost while they ran this same request.
     #[display("poison")]
     Poison,
+    /// The idempotency key is malformed.
+    #[display("bad-key")]
+    BadKey,
     /// The same key came with another request.
     #[display("key-reused")]
     KeyReused,
--- /dev/null
+++ b/crates/kernel/src/requests/balancer.rs
@@ -0,0 +1,195 @@
+//! Choice of the upstream that a request is handed to.
+
+use std::collections::BTreeMap;
+
+use celeryshore_model::Service;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
+use celeryshore_model::Upstream;
+use celeryshore_model::UpstreamName;
+use celeryshore_model::ZoneName;
+
+use crate::MemberState;
+use crate::NotRun;
+use crate::Reply;
+use crate::ReplyOutcome;
+use crate::requests::call::Call;
+use crate::requests::call::Leg;
+use crate::requests::context::Context;
+use crate::requests::peer_load::PeerLoad;
+
+/// Chooses upstreams by what this node sees of them.
+#[derive(Debug)]
+pub(super) struct Balancer {
+    rng: fastrand::Rng,
+    loads: BTreeMap<UpstreamName, PeerLoad>,
+}
+
+/// How far an upstream is from this node; the nearest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    Zone,
+    Region,
+    Far,
+}
+
+/// An upstream that may be chosen.
+#[derive(Debug)]
+struct Candidate<'a> {
+    upstream: &'a Upstream,
+    distance: Distance,
+    is_doubtful: bool,
+    has_room: bool,
+    ratio: u64,
+}
+
+impl Balancer {
+    /// Makes a balancer that knows no upstream.
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            loads: BTreeMap::new(),
+        }
+    }
+
+    /// Returns a random number.
+    pub(super) fn draw(&mut self) -> u64 {
+        self.rng.u64(..)
+    }
+
+    /// Chooses an upstream that the call has not been handed to.
+    ///
+    /// The nearest ones with room come first, then any that are in order, and
+    /// those that are suspected or failed lately come last.
+    pub(super) fn pick(&mut self, cx: &Context<'_>, call: &Call) -> Option<Upstream> {
+        let snapshot = cx.view.snapshot()?;
+        let service = snapshot.services.get(&call.kind.service)?;
+        let candidates = self.candidates(cx, snapshot, service, call);
+        let upstream = choose(&mut self.rng, &candidates)?;
+        self.load(&upstream.name).sent();
+        Some(upstream.clone())
+    }
+
+    /// Learns from the reply to a hand-over.
+    pub(super) fn replied(&mut self, cx: &Context<'_>, leg: &Leg, reply: &Reply) {
+        let now = cx.now.mono;
+        let load = self.load(&leg.upstream);
+        load.ended();
+        load.report(now, reply.load);
+        match &reply.outcome {
+            ReplyOutcome::Answered(_) => load.succeed(),
+            ReplyOutcome::NotRun { reason, .. } if is_lasting(*reason) => load.penalize(now),
+            ReplyOutcome::NotRun { .. } | ReplyOutcome::Unknown(_) => {}
+        }
+    }
+
+    /// Learns from the failure of a hand-over.
+    pub(super) fn failed(&mut self, now: Time, leg: &Leg) {
+        let load = self.load(&leg.upstream);
+        load.ended();
+        load.penalize(now);
+    }
+
+    /// Forgets a hand-over that was given up.
+    pub(super) fn abandoned(&mut self, leg: &Leg) {
+        self.load(&leg.upstream).ended();
+    }
+
+    fn load(&mut self, name: &UpstreamName) -> &mut PeerLoad {
+        self.loads.entry(name.clone()).or_default()
+    }
+
+    fn candidates<'a>(
+        &self,
+        cx: &Context<'_>,
+        snapshot: &'a Snapshot,
+        service: &Service,
+        call: &Call,
+    ) -> Vec<Candidate<'a>> {
+        service
+            .upstreams
+            .iter()
+            .filter(|name| !call.tried.contains(name))
+            .filter_map(|name| snapshot.upstreams.get(name))
+            .filter(|u| !snapshot.is_out(u) && is_usable(cx.view.member(&u.vm)))
+            .map(|u| self.candidate(cx, snapshot, service, u))
+            .collect()
+    }
+
+    fn candidate<'a>(
+        &self,
+        cx: &Context<'_>,
+        snapshot: &Snapshot,
+        service: &Service,
+        upstream: &'a Upstream,
+    ) -> Candidate<'a> {
+        let now = cx.now.mono;
+        let cold = service.limits.cold_slots.get();
+        let load = self.loads.get(&upstream.name).copied().unwrap_or_default();
+        let is_suspect = cx.view.member(&upstream.vm) == MemberState::Suspect;
+        Candidate {
+            upstream,
+            distance: distance(snapshot, &cx.view.cfg().zone, &upstream.zone),
+            is_doubtful: is_suspect || load.is_avoided(now),
+            has_room: load.has_room(now, cold, sharers(snapshot, &upstream.zone)),
+            ratio: load.ratio(now, cold),
+        }
+    }
+}
+
+const fn is_usable(state: MemberState) -> bool {
+    matches!(state, MemberState::Alive | MemberState::Suspect)
+}
+
+/// Tells whether a refusal holds for some time, whatever the load.
+const fn is_lasting(reason: NotRun) -> bool {
+    matches!(
+        reason,
+        NotRun::TargetDown
+            | NotRun::Leaving
+            | NotRun::OutOfService
+            | NotRun::NotHere
+            | NotRun::Learning
+    )
+}
+
+fn distance(snapshot: &Snapshot, own: &ZoneName, other: &ZoneName) -> Distance {
+    if own == other {
+        return Distance::Zone;
+    }
+    let region = |zone| snapshot.zones.get(zone).map(|z| &z.region);
+    match (region(own), region(other)) {
+        (Some(a), Some(b)) if a == b => Distance::Region,
+        _ => Distance::Far,
+    }
+}
+
+/// Returns how many handing nodes are near an upstream of this zone.
+fn sharers(snapshot: &Snapshot, zone: &ZoneName) -> u32 {
+    let count = snapshot.upstreams.values().filter(|u| &u.zone == zone);
+    u32::try_from(count.count()).unwrap_or(u32::MAX)
+}
+
+fn choose<'a>(rng: &mut fastrand::Rng, candidates: &[Candidate<'a>]) -> Option<&'a Upstream> {
+    let sound: Vec<_> = candidates.iter().filter(|c| !c.is_doubtful).collect();
+    for distance in [Distance::Zone, Distance::Region, Distance::Far] {
+        let roomy = sound
+            .iter()
+            .filter(|c| c.has_room && c.distance == distance)
+            .copied()
+            .collect();
+        if let Some(choice) = less_loaded_of_two(rng, roomy) {
+            return Some(choice);
+        }
+    }
+    less_loaded_of_two(rng, sound).or_else(|| less_loaded_of_two(rng, candidates.iter().collect()))
+}
+
+fn less_loaded_of_two<'a>(
+    rng: &mut fastrand::Rng,
+    mut candidates: Vec<&Candidate<'a>>,
+) -> Option<&'a Upstream> {
+    rng.shuffle(&mut candidates);
+    let choice = candidates.into_iter().take(2).min_by_key(|c| c.ratio)?;
+    Some(choice.upstream)
+}
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -1,12 +1,31 @@
 //! Decisions about requests: routing, admission, retries, at most once.
 
+mod admission;
+mod admitting;
+mod balancer;
+mod call;
+mod context;
+mod dispatch;
 mod event;
+mod handing;
+mod headers;
+mod peer_load;
+mod routes;
+mod timers;
+mod view;
+mod work;
+
+use std::collections::VecDeque;
 
 use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
+use celeryshore_model::Time;
 use celeryshore_model::VmName;
 use celeryshore_model::ZoneName;
 
+use self::admitting::Admitting;
+use self::context::Context;
+use self::dispatch::Sides;
 pub use self::event::Answer;
 pub use self::event::CallId;
 pub use self::event::ExchangeId;
@@ -16,6 +35,8 @@
 pub use self::event::RequestAction;
 pub use self::event::RequestEvent;
 pub use self::event::WorkId;
+use self::handing::Handing;
+use self::view::View;
 
 /// What a node knows of itself before it knows any configuration.
 #[derive(Clone, Debug)]
@@ -33,19 +54,122 @@
 /// Decides about requests, as the handing node and as the admitting node.
 #[derive(Debug)]
 pub struct Requests {
-    cfg: RequestsConfig,
+    view: View,
+    sides: Sides,
+    exchanges: u64,
+    wake_at: Option<Time>,
+    is_draining: bool,
+    is_drained: bool,
 }
 
 impl Requests {
     /// Makes the decisions of a process that starts now and knows nothing.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::Requests;
+    /// use celeryshore_kernel::RequestsConfig;
+    /// use celeryshore_model::Incarnation;
+    /// use celeryshore_model::Now;
+    ///
+    /// let cfg = RequestsConfig {
+    ///     vm: "vm-1".parse()?,
+    ///     zone: "glasgow".parse()?,
+    ///     incarnation: Incarnation(1),
+    ///     seed: 1,
+    /// };
+    /// let requests = Requests::new(cfg, Now::default());
+    /// # let _ = requests;
+    /// # Ok::<(), celeryshore_model::Error>(())
+    /// ```
     #[must_use]
     pub fn new(cfg: RequestsConfig, now: Now) -> Self {
         let _ = now;
-        Self { cfg }
+        Self {
+            sides: Sides {
+                handing: Handing::new(cfg.seed),
+                admitting: Admitting::new(),
+            },
+            view: View::new(cfg),
+            exchanges: 0,
+            wake_at: None,
+            is_draining: false,
+            is_drained: false,
+        }
     }
 
     /// Takes one event and appends what is to be done to `actions`.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::Answer;
+    /// use celeryshore_kernel::CallId;
+    /// use celeryshore_kernel::NotRun;
+    /// use celeryshore_kernel::RequestAction;
+    /// use celeryshore_kernel::RequestEvent;
+    /// # use celeryshore_kernel::Requests;
+    /// # use celeryshore_kernel::RequestsConfig;
+    /// use celeryshore_model::HttpRequest;
+    /// # use celeryshore_model::Incarnation;
+    /// use celeryshore_model::Now;
+    ///
+    /// # let cfg = RequestsConfig {
+    /// #     vm: "vm-1".parse()?,
+    /// #     zone: "glasgow".parse()?,
+    /// #     incarnation: Incarnation(1),
+    /// #     seed: 1,
+    /// # };
+    /// # let mut requests = Requests::new(cfg, Now::default());
+    /// let event = RequestEvent::Arrived {
+    ///     call: CallId(1),
+    ///     request: HttpRequest::default(),
+    /// };
+    /// let mut actions = Vec::new();
+    /// requests.handle(Now::default(), event, &mut actions);
+    /// let RequestAction::Answer { answer, .. } = &actions[0] else {
+    ///     panic!("an answer");
+    /// };
+    /// assert!(matches!(answer, Answer::NotRun { reason: NotRun::Learning, .. }));
+    /// # Ok::<(), celeryshore_model::Error>(())
+    /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
-        let _ = (now, event, actions, &self.cfg);
+        if let RequestEvent::Member { vm, state } = event {
+            self.view.observe(vm, state);
+            return;
+        }
+        if let RequestEvent::Configured(snapshot) = &event {
+            self.view.configure(snapshot.clone());
+        }
+        self.is_draining |= matches!(event, RequestEvent::Drain);
+        let mut loopback = VecDeque::new();
+        let mut cx = Context {
+            now,
+            view: &self.view,
+            actions,
+            loopback: &mut loopback,
+            exchanges: &mut self.exchanges,
+        };
+        self.sides.handle(&mut cx, event);
+        self.settle(actions);
+    }
+
+    /// Asks for the next tick and reports the end of a drain.
+    fn settle(&mut self, actions: &mut Vec<RequestAction>) {
+        let due = [
+            self.sides.handing.next_due(),
+            self.sides.admitting.next_due(),
+        ];
+        let wake_at = due.into_iter().flatten().min();
+        if let Some(at) = wake_at.filter(|_| wake_at != self.wake_at) {
+            actions.push(RequestAction::WakeAt(at));
+        }
+        self.wake_at = wake_at;
+        let is_idle = self.sides.handing.open() == 0 && self.sides.admitting.open() == 0;
+        if self.is_draining && is_idle && !self.is_drained {
+            self.is_drained = true;
+            actions.push(RequestAction::Drained);
+        }
     }
 }
--- /dev/null
+++ b/crates/kernel/src/requests/peer_load.rs
@@ -0,0 +1,109 @@
+//! What the handing node knows of the load of one upstream.
+
+use std::time::Duration;
+
+use celeryshore_model::Time;
+
+use crate::LoadReport;
+use crate::Phase;
+
+/// Age at which a report says nothing any more of the work in flight.
+const REPORT_HORIZON: Duration = Duration::from_secs(1);
+/// First time for which a failing upstream is avoided.
+const MIN_PENALTY: Duration = Duration::from_millis(200);
+/// Longest time for which a failing upstream is avoided.
+const MAX_PENALTY: Duration = Duration::from_secs(5);
+/// Failures in a row beyond which the penalty no longer grows.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Load of one upstream: own work there, and the latest report.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PeerLoad {
+    outstanding: u32,
+    report: LoadReport,
+    others: u32,
+    reported_at: Option<Time>,
+    avoid_until: Time,
+    failures: u32,
+}
+
+impl PeerLoad {
+    /// Records a hand-over.
+    pub(super) fn sent(&mut self) {
+        self.outstanding += 1;
+    }
+
+    /// Records the end of a hand-over.
+    pub(super) fn ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+
+    /// Takes the report that came with a reply.
+    pub(super) fn report(&mut self, now: Time, report: LoadReport) {
+        self.others = report.in_flight.saturating_sub(self.outstanding);
+        self.report = report;
+        self.reported_at = Some(now);
+    }
+
+    /// Records that the upstream works.
+    pub(super) fn succeed(&mut self) {
+        self.failures = 0;
+        self.avoid_until = Time::ZERO;
+    }
+
+    /// Avoids the upstream, longer after each failure in a row.
+    pub(super) fn penalize(&mut self, now: Time) {
+        let penalty = MIN_PENALTY * (1 << self.failures.min(MAX_DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        self.avoid_until = now + penalty.min(MAX_PENALTY);
+    }
+
+    /// Tells whether the upstream failed lately.
+    pub(super) fn is_avoided(&self, now: Time) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Returns the limit of the upstream, `cold` if it has not reported one.
+    pub(super) fn limit(&self, cold: u32) -> u32 {
+        match self.reported_at {
+            Some(_) => self.report.limit.max(1),
+            None => cold.max(1),
+        }
+    }
+
+    /// Returns the load in thousandths of the limit.
+    ///
+    /// The work of other nodes is taken from the report. The older the report,
+    /// the more the upstream counts as half loaded, so that one with an old
+    /// report does not look idle to all nodes at once.
+    pub(super) fn ratio(&self, now: Time, cold: u32) -> u64 {
+        let limit = u64::from(self.limit(cold));
+        let own = u64::from(self.outstanding) * 1_000;
+        let fresh = self.freshness(now);
+        let reported = u64::from(self.others) * fresh;
+        let assumed = limit * (1_000 - fresh) / 2;
+        (own + reported + assumed) / limit
+    }
+
+    /// Tells whether one of `sharers` handing nodes may hand over more without
+    /// overflowing the upstream.
+    ///
+    /// While the target is not warm, each handing node takes only its share.
+    pub(super) fn has_room(&self, now: Time, cold: u32, sharers: u32) -> bool {
+        let limit = self.limit(cold);
+        let share = match self.report.phase {
+            Phase::Warm => limit,
+            _ => limit.div_ceil(sharers.max(1)),
+        };
+        self.outstanding < share && self.ratio(now, cold) < 1_000
+    }
+
+    /// Returns in thousandths how far the report can be believed.
+    fn freshness(&self, now: Time) -> u64 {
+        let Some(at) = self.reported_at else {
+            return 0;
+        };
+        let left = REPORT_HORIZON.saturating_sub(now - at);
+        u64::try_from(left.as_micros() * 1_000 / REPORT_HORIZON.as_micros()).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/requests/view.rs
@@ -0,0 +1,109 @@
+//! Configuration in force and states of the other members.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use celeryshore_model::HttpRequest;
+use celeryshore_model::Kind;
+use celeryshore_model::KindId;
+use celeryshore_model::Limits;
+use celeryshore_model::Service;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Upstream;
+use celeryshore_model::Version;
+use celeryshore_model::VmName;
+
+use crate::MemberState;
+use crate::requests::RequestsConfig;
+use crate::requests::routes;
+
+/// What a node knows of the configuration and of the other members.
+#[derive(Debug)]
+pub(super) struct View {
+    cfg: RequestsConfig,
+    snapshot: Option<Arc<Snapshot>>,
+    own: Option<Upstream>,
+    members: BTreeMap<VmName, MemberState>,
+}
+
+impl View {
+    /// Makes the view of a node that knows nothing.
+    pub(super) const fn new(cfg: RequestsConfig) -> Self {
+        Self {
+            cfg,
+            snapshot: None,
+            own: None,
+            members: BTreeMap::new(),
+        }
+    }
+
+    /// Returns what the node knows of itself.
+    pub(super) const fn cfg(&self) -> &RequestsConfig {
+        &self.cfg
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub(super) fn configure(&mut self, snapshot: Arc<Snapshot>) {
+        if snapshot.version < self.version() {
+            return;
+        }
+        self.own = snapshot.upstream_on(&self.cfg.vm).cloned();
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Records the state of a member.
+    pub(super) fn observe(&mut self, vm: VmName, state: MemberState) {
+        self.members.insert(vm, state);
+    }
+
+    /// Returns the configuration in force.
+    pub(super) const fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns the version in force; the lowest one before any.
+    pub(super) fn version(&self) -> Version {
+        self.snapshot
+            .as_ref()
+            .map_or_else(Version::default, |s| s.version)
+    }
+
+    /// Returns the upstream that lies on this node's own VM.
+    pub(super) const fn own(&self) -> Option<&Upstream> {
+        self.own.as_ref()
+    }
+
+    /// Returns the service that this node's own upstream belongs to.
+    pub(super) fn own_service(&self) -> Option<&Service> {
+        let own = self.own.as_ref()?;
+        self.snapshot.as_ref()?.services.get(&own.service)
+    }
+
+    /// Returns what this node's own target can bear.
+    pub(super) fn own_limits(&self) -> Option<Limits> {
+        self.own_service().map(|s| s.limits)
+    }
+
+    /// Tells whether this node's own upstream is out of service.
+    pub(super) fn is_own_out(&self) -> bool {
+        let snapshot = self.snapshot.as_ref();
+        snapshot
+            .zip(self.own.as_ref())
+            .is_some_and(|(s, u)| s.is_out(u))
+    }
+
+    /// Returns the state of a member.
+    pub(super) fn member(&self, vm: &VmName) -> MemberState {
+        self.members.get(vm).copied().unwrap_or_default()
+    }
+
+    /// Returns a request kind by its service and name.
+    pub(super) fn kind(&self, id: &KindId) -> Option<&Kind> {
+        self.snapshot.as_ref()?.kind(id)
+    }
+
+    /// Finds the request kind that a request is routed to.
+    pub(super) fn route(&self, request: &HttpRequest, draw: u64) -> Option<KindId> {
+        routes::find(self.snapshot.as_ref()?, request, draw)
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/common/deployment.rs
@@ -0,0 +1,163 @@
+//! Small configurations and requests for the tests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryshore_model::ByteSize;
+use celeryshore_model::Header;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::Index;
+use celeryshore_model::Kind;
+use celeryshore_model::Limits;
+use celeryshore_model::RetryPolicy;
+use celeryshore_model::Route;
+use celeryshore_model::RouteMatch;
+use celeryshore_model::Semantics;
+use celeryshore_model::Service;
+use celeryshore_model::Share;
+use celeryshore_model::Slots;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Upstream;
+use celeryshore_model::VmName;
+use celeryshore_model::Zone;
+
+/// Deadline of every kind, in milliseconds.
+pub const DEADLINE: u64 = 1_000;
+
+/// Makes the ordering service with one upstream in each of the named zones.
+///
+/// The upstream number `n` is `ordering-n` on `vm-n`. Zones that start with the
+/// same letter lie in one region.
+pub fn ordering(zones: &[&str]) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    snapshot.version.index = Index(1);
+    let mut service = service();
+    for (i, zone) in zones.iter().enumerate() {
+        let upstream = upstream(i + 1, zone);
+        service.upstreams.push(upstream.name.clone());
+        let zone = Zone {
+            name: upstream.zone.clone(),
+            region: zone[..1].parse().expect("a zone"),
+        };
+        snapshot.zones.insert(zone.name.clone(), zone);
+        snapshot.upstreams.insert(upstream.name.clone(), upstream);
+    }
+    snapshot.services.insert(service.name.clone(), service);
+    snapshot.routes = vec![route("/stock", "stock"), route("/order", "order")];
+    snapshot
+}
+
+/// Changes the one service of a configuration.
+pub fn tune(snapshot: &mut Snapshot, change: impl Fn(&mut Service)) {
+    snapshot.services.values_mut().for_each(change);
+}
+
+/// Takes a zone out of service in the next version.
+pub fn without_zone(snapshot: &Snapshot, zone: &str) -> Arc<Snapshot> {
+    let mut next = snapshot.clone();
+    next.version.index.0 += 1;
+    next.outages.zones.insert(zone.parse().expect("a zone"));
+    Arc::new(next)
+}
+
+/// Returns the zone of a VM.
+pub fn zone_of<'a>(snapshot: &'a Snapshot, vm: &VmName) -> &'a str {
+    let upstream = snapshot.upstream_on(vm).expect("an upstream");
+    upstream.zone.as_str()
+}
+
+/// Makes an idempotent request.
+pub fn stock() -> HttpRequest {
+    HttpRequest {
+        method: "GET".into(),
+        host: "ordering".into(),
+        path: "/stock?litres=50".into(),
+        ..HttpRequest::default()
+    }
+}
+
+/// Makes an order without a key.
+pub fn order() -> HttpRequest {
+    HttpRequest {
+        method: "POST".into(),
+        path: "/order".into(),
+        body: "25 litres".into(),
+        ..stock()
+    }
+}
+
+/// Makes an order with a key.
+pub fn keyed(key: &str) -> HttpRequest {
+    with(order(), "idempotency-key", key)
+}
+
+/// Makes an order that its caller sends again.
+pub fn resent(key: &str, attempt: u32) -> HttpRequest {
+    with(keyed(key), "celeryshore-attempt", &attempt.to_string())
+}
+
+/// Adds a header field to a request.
+pub fn with(mut request: HttpRequest, name: &str, value: &str) -> HttpRequest {
+    let header = Header::new(name.to_owned(), value.to_owned());
+    request.headers.push(header);
+    request
+}
+
+fn service() -> Service {
+    let kinds = [
+        kind("stock", Semantics::Idempotent),
+        kind("order", Semantics::AtMostOnce),
+    ];
+    Service {
+        name: "ordering".parse().expect("a service"),
+        limits: Limits {
+            slots: Slots::new(6),
+            cold_slots: Slots::new(2),
+            queue: Slots::new(4),
+            connections: Slots::new(110),
+            body: ByteSize::new(1_024),
+        },
+        retry: RetryPolicy {
+            attempts: 3,
+            budget: Share::from_per_mille(200),
+        },
+        kinds: kinds.into_iter().map(|k| (k.name.clone(), k)).collect(),
+        upstreams: Vec::new(),
+    }
+}
+
+fn kind(name: &str, semantics: Semantics) -> Kind {
+    Kind {
+        name: name.parse().expect("a kind"),
+        semantics,
+        deadline: Duration::from_millis(DEADLINE),
+    }
+}
+
+fn upstream(n: usize, zone: &str) -> Upstream {
+    let port = u16::try_from(7_000 + n).expect("a port");
+    let addr = SocketAddr::from(([127, 0, 0, 1], port));
+    Upstream {
+        name: format!("ordering-{n}").parse().expect("an upstream"),
+        service: "ordering".parse().expect("a service"),
+        vm: format!("vm-{n}").parse().expect("a VM"),
+        zone: zone.parse().expect("a zone"),
+        peer: addr,
+        control: addr,
+    }
+}
+
+fn route(path: &str, kind: &str) -> Route {
+    Route {
+        name: kind.parse().expect("a route"),
+        matches: RouteMatch {
+            host: None,
+            path: path.to_owned(),
+            method: None,
+        },
+        service: "ordering".parse().expect("a service"),
+        kind: kind.parse().expect("a kind"),
+        splits: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/common/mod.rs
@@ -0,0 +1,378 @@
+//! Some nodes and their messages, driven without sockets or threads.
+
+#![allow(dead_code, reason = "each test file uses a part of the driver")]
+
+pub mod deployment;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::CallId;
+use celeryshore_kernel::ExchangeId;
+use celeryshore_kernel::InboundId;
+use celeryshore_kernel::MemberState;
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_kernel::Progress;
+use celeryshore_kernel::RequestAction;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::Requests;
+use celeryshore_kernel::RequestsConfig;
+use celeryshore_kernel::WorkId;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::HttpResponse;
+use celeryshore_model::Incarnation;
+use celeryshore_model::Now;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
+use celeryshore_model::VmName;
+use celeryshore_model::WallTime;
+
+/// Wall-clock time at the start of every test.
+const WALL_START: u64 = 1_700_000_000_000;
+/// Time that each life of a process is old when a test starts, in milliseconds.
+const AGE: u64 = 3_600_000;
+
+/// A request that a target runs.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub vm: VmName,
+    pub work: WorkId,
+    pub request: HttpRequest,
+    pub deadline: Time,
+}
+
+#[derive(Debug)]
+struct Node {
+    requests: Requests,
+    wake_at: Option<Time>,
+    is_drained: bool,
+}
+
+/// Some nodes with their messages.
+#[derive(Debug)]
+pub struct Mesh {
+    pub now: Now,
+    nodes: BTreeMap<VmName, Node>,
+    links: BTreeMap<InboundId, (VmName, ExchangeId, VmName)>,
+    cut: BTreeSet<(VmName, VmName)>,
+    events: VecDeque<(VmName, RequestEvent)>,
+    /// Requests that targets run now.
+    pub runs: Vec<Run>,
+    /// All requests that were ever given to a target.
+    pub history: Vec<Run>,
+    /// Answers to callers.
+    pub answers: BTreeMap<CallId, Answer>,
+    /// Inquiries sent so far.
+    pub inquiries: usize,
+    /// Versions that nodes asked for.
+    pub catch_ups: usize,
+    /// Messages to these VMs are kept back until they are released.
+    pub held: BTreeSet<VmName>,
+    pub kept: Vec<(VmName, RequestEvent)>,
+    latest: u64,
+}
+
+impl Mesh {
+    /// Starts a node on each of the VMs; all know the configuration.
+    pub fn new(snapshot: &Arc<Snapshot>) -> Self {
+        let mut mesh = Self::empty();
+        let vms: Vec<_> = snapshot.upstreams.values().map(|u| u.vm.clone()).collect();
+        mesh.now = at(0);
+        for vm in &vms {
+            mesh.start(vm, snapshot);
+        }
+        mesh.now = at(AGE);
+        for vm in &vms {
+            mesh.send(vm.as_str(), RequestEvent::Tick);
+        }
+        mesh
+    }
+
+    /// Makes a mesh without nodes.
+    pub fn empty() -> Self {
+        Self {
+            now: at(AGE),
+            nodes: BTreeMap::new(),
+            links: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            events: VecDeque::new(),
+            runs: Vec::new(),
+            history: Vec::new(),
+            answers: BTreeMap::new(),
+            inquiries: 0,
+            catch_ups: 0,
+            held: BTreeSet::new(),
+            kept: Vec::new(),
+            latest: 0,
+        }
+    }
+
+    /// Starts a node, in place of an earlier life.
+    pub fn start(&mut self, vm: &VmName, snapshot: &Arc<Snapshot>) {
+        self.start_unconfigured(vm, deployment::zone_of(snapshot, vm));
+        self.send(vm.as_str(), RequestEvent::Configured(snapshot.clone()));
+    }
+
+    /// Starts a node that knows no configuration.
+    pub fn start_unconfigured(&mut self, vm: &VmName, zone: &str) {
+        self.latest += 1;
+        let cfg = RequestsConfig {
+            vm: vm.clone(),
+            zone: zone.parse().expect("a zone"),
+            incarnation: Incarnation(self.latest),
+            seed: self.latest,
+        };
+        let node = Node {
+            requests: Requests::new(cfg, self.now),
+            wake_at: None,
+            is_drained: false,
+        };
+        self.nodes.insert(vm.clone(), node);
+    }
+
+    /// Ends a node's process: its exchanges break, its target's work is lost.
+    pub fn kill(&mut self, vm: &str) {
+        let vm = name(vm);
+        self.nodes.remove(&vm);
+        self.runs.retain(|r| r.vm != vm);
+        let links = std::mem::take(&mut self.links);
+        for (inbound, (from, exchange, to)) in links {
+            if to == vm {
+                let progress = Progress::MaybeSent;
+                self.push(&from, RequestEvent::ExchangeFailed { exchange, progress });
+            } else if from == vm {
+                self.push(&to, RequestEvent::Withdrawn { inbound });
+            } else {
+                self.links.insert(inbound, (from, exchange, to));
+            }
+        }
+        self.settle();
+    }
+
+    /// Cuts or heals the way from one VM to another.
+    pub fn set_cut(&mut self, from: &str, to: &str, is_cut: bool) {
+        let link = (name(from), name(to));
+        if is_cut {
+            self.cut.insert(link);
+        } else {
+            self.cut.remove(&link);
+        }
+    }
+
+    /// Gives an event to a node and lets all that follows happen.
+    pub fn send(&mut self, vm: &str, event: RequestEvent) {
+        self.push(&name(vm), event);
+        self.settle();
+    }
+
+    /// Gives an event to each node.
+    pub fn send_all(&mut self, event: &RequestEvent) {
+        let vms: Vec<_> = self.nodes.keys().cloned().collect();
+        for vm in vms {
+            self.send(vm.as_str(), event.clone());
+        }
+    }
+
+    /// Tells each node the state of a member.
+    pub fn observe(&mut self, vm: &str, state: MemberState) {
+        let vm = name(vm);
+        self.send_all(&RequestEvent::Member { vm, state });
+    }
+
+    /// Sends a caller's request to a node.
+    pub fn call(&mut self, vm: &str, request: HttpRequest) -> CallId {
+        self.latest += 1;
+        let call = CallId(self.latest);
+        self.send(vm, RequestEvent::Arrived { call, request });
+        call
+    }
+
+    /// Lets time pass, with every tick that falls due.
+    pub fn advance(&mut self, millis: u64) {
+        let end = self.now.mono + Duration::from_millis(millis);
+        while let Some((at, vm)) = self.next_wake().filter(|(at, _)| *at <= end) {
+            self.jump_to(at);
+            self.node(&vm).wake_at = None;
+            self.send(vm.as_str(), RequestEvent::Tick);
+        }
+        self.jump_to(end);
+    }
+
+    /// Lets time pass without any tick, as in a frozen process.
+    pub fn freeze(&mut self, millis: u64) {
+        self.jump_to(self.now.mono + Duration::from_millis(millis));
+    }
+
+    /// Ends the oldest run with an answer.
+    pub fn answer(&mut self, body: &str) -> Run {
+        let run = self.runs.remove(0);
+        self.finish(&run, Outcome::Answered(response(200, body)));
+        run
+    }
+
+    /// Ends a run.
+    pub fn finish(&mut self, run: &Run, outcome: Outcome) {
+        self.runs.retain(|r| (&r.vm, r.work) != (&run.vm, run.work));
+        let event = RequestEvent::Finished {
+            work: run.work,
+            outcome,
+        };
+        self.send(run.vm.as_str(), event);
+    }
+
+    /// Delivers the messages that were kept back.
+    pub fn release(&mut self) {
+        self.held.clear();
+        for (vm, event) in std::mem::take(&mut self.kept) {
+            self.push(&vm, event);
+        }
+        self.settle();
+    }
+
+    /// Tells whether a node reported the end of its drain.
+    pub fn is_drained(&self, vm: &str) -> bool {
+        self.nodes[&name(vm)].is_drained
+    }
+
+    fn node(&mut self, vm: &VmName) -> &mut Node {
+        self.nodes.get_mut(vm).expect("a node")
+    }
+
+    fn next_wake(&self) -> Option<(Time, VmName)> {
+        let wakes = self.nodes.iter();
+        wakes
+            .filter_map(|(vm, node)| Some((node.wake_at?, vm.clone())))
+            .min()
+    }
+
+    fn jump_to(&mut self, time: Time) {
+        let span = time - self.now.mono;
+        self.now = Now {
+            mono: self.now.mono + span,
+            wall: self.now.wall + span,
+        };
+    }
+
+    fn push(&mut self, vm: &VmName, event: RequestEvent) {
+        self.events.push_back((vm.clone(), event));
+    }
+
+    fn settle(&mut self) {
+        while let Some((vm, event)) = self.events.pop_front() {
+            let is_message = matches!(
+                event,
+                RequestEvent::Received { .. } | RequestEvent::Replied { .. }
+            );
+            if is_message && self.held.contains(&vm) {
+                self.kept.push((vm, event));
+                continue;
+            }
+            let Some(node) = self.nodes.get_mut(&vm) else {
+                continue;
+            };
+            let mut actions = Vec::new();
+            node.requests.handle(self.now, event, &mut actions);
+            for action in actions {
+                self.act(&vm, action);
+            }
+        }
+    }
+
+    fn act(&mut self, vm: &VmName, action: RequestAction) {
+        match action {
+            RequestAction::Answer { call, answer } => {
+                let earlier = self.answers.insert(call, answer);
+                assert!(earlier.is_none(), "two answers to {call}");
+            }
+            RequestAction::Send {
+                exchange,
+                vm: to,
+                request,
+                ..
+            } => self.transmit(vm, exchange, &to, request),
+            RequestAction::Abandon { exchange } => self.abandon(vm, exchange),
+            RequestAction::Reply { inbound, reply } => {
+                if let Some((from, exchange, _)) = self.links.remove(&inbound) {
+                    self.push(&from, RequestEvent::Replied { exchange, reply });
+                }
+            }
+            RequestAction::Run {
+                work,
+                request,
+                deadline,
+            } => self.run(vm, work, request, deadline),
+            RequestAction::Abort { work } => {
+                self.runs.retain(|r| (&r.vm, r.work) != (vm, work));
+            }
+            RequestAction::CatchUp { .. } => self.catch_ups += 1,
+            RequestAction::WakeAt(at) => self.node(vm).wake_at = Some(at),
+            RequestAction::Drained => self.node(vm).is_drained = true,
+        }
+    }
+
+    fn transmit(&mut self, from: &VmName, exchange: ExchangeId, to: &VmName, msg: PeerRequest) {
+        self.inquiries += usize::from(matches!(msg, PeerRequest::Inquiry(_)));
+        let is_cut = self.cut.contains(&(from.clone(), to.clone()));
+        if is_cut || !self.nodes.contains_key(to) {
+            let progress = Progress::NeverSent;
+            self.push(from, RequestEvent::ExchangeFailed { exchange, progress });
+            return;
+        }
+        self.latest += 1;
+        let inbound = InboundId(self.latest);
+        self.links
+            .insert(inbound, (from.clone(), exchange, to.clone()));
+        let request = msg;
+        self.push(to, RequestEvent::Received { inbound, request });
+    }
+
+    fn abandon(&mut self, vm: &VmName, exchange: ExchangeId) {
+        let link = self
+            .links
+            .iter()
+            .find(|(_, (from, x, _))| (from, *x) == (vm, exchange));
+        if let Some((&inbound, (_, _, to))) = link {
+            let to = to.clone();
+            self.links.remove(&inbound);
+            self.push(&to, RequestEvent::Withdrawn { inbound });
+        }
+    }
+
+    fn run(&mut self, vm: &VmName, work: WorkId, request: HttpRequest, deadline: Time) {
+        let run = Run {
+            vm: vm.clone(),
+            work,
+            request,
+            deadline,
+        };
+        self.runs.push(run.clone());
+        self.history.push(run);
+    }
+}
+
+/// Reads both clocks some milliseconds after the start.
+pub fn at(millis: u64) -> Now {
+    Now {
+        mono: Time::from_millis(millis),
+        wall: WallTime::from_millis(WALL_START + millis),
+    }
+}
+
+/// Makes a VM's name.
+pub fn name(vm: &str) -> VmName {
+    vm.parse().expect("a VM")
+}
+
+/// Makes an answer.
+pub fn response(status: u16, body: &str) -> HttpResponse {
+    HttpResponse {
+        status,
+        headers: Vec::new(),
+        body: body.to_owned().into(),
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/routing.rs
@@ -0,0 +1,108 @@
+//! The way of a request from its caller to a target and back.
+
+mod common;
+
+use std::sync::Arc;
+
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::CallId;
+use celeryshore_kernel::NotRun;
+use celeryshore_model::HttpRequest;
+
+use crate::common::Mesh;
+use crate::common::deployment::order;
+use crate::common::deployment::ordering;
+use crate::common::deployment::stock;
+use crate::common::deployment::with;
+use crate::common::deployment::without_zone;
+use crate::common::name;
+use crate::common::response;
+
+fn refusal(mesh: &Mesh, call: CallId) -> NotRun {
+    match &mesh.answers[&call] {
+        Answer::NotRun { reason, .. } => *reason,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn local_target() {
+    let mut mesh = Mesh::new(&Arc::new(ordering(&["glasgow"])));
+    let call = mesh.call("vm-1", stock());
+    assert_eq!(mesh.runs.len(), 1);
+    mesh.answer("40 in stock");
+    assert_eq!(
+        mesh.answers[&call],
+        Answer::Whole(response(200, "40 in stock"))
+    );
+}
+
+#[test]
+fn remote_target() {
+    let snapshot = ordering(&["glasgow", "perth"]);
+    let mut mesh = Mesh::new(&Arc::new(snapshot.clone()));
+    mesh.send_all(&celeryshore_kernel::RequestEvent::Configured(without_zone(
+        &snapshot, "glasgow",
+    )));
+    let call = mesh.call("vm-1", order());
+    let run = mesh.answer("ordered");
+    assert_eq!(run.vm, name("vm-2"));
+    assert_eq!(mesh.answers[&call], Answer::Whole(response(200, "ordered")));
+}
+
+#[test]
+fn no_configuration() {
+    let mut mesh = Mesh::empty();
+    mesh.start_unconfigured(&name("vm-1"), "glasgow");
+    let call = mesh.call("vm-1", stock());
+    assert_eq!(refusal(&mesh, call), NotRun::Learning);
+}
+
+#[test]
+fn refused_requests() {
+    let mut mesh = Mesh::new(&Arc::new(ordering(&["glasgow"])));
+    let lost = HttpRequest {
+        path: "/stockings".into(),
+        ..stock()
+    };
+    let large = HttpRequest {
+        body: vec![0; 1_025].into(),
+        ..stock()
+    };
+    let cases = [
+        (lost, NotRun::NoRoute),
+        (large, NotRun::TooLarge),
+        (with(stock(), "celeryshore-depth", "9"), NotRun::TooDeep),
+        (
+            with(order(), "idempotency-key", "two words"),
+            NotRun::BadKey,
+        ),
+    ];
+    for (request, expected) in cases {
+        let call = mesh.call("vm-1", request);
+        assert_eq!(refusal(&mesh, call), expected);
+    }
+    assert!(mesh.history.is_empty());
+}
+
+#[test]
+fn nested_calls() {
+    let mut mesh = Mesh::new(&Arc::new(ordering(&["glasgow"])));
+    mesh.call("vm-1", with(stock(), "celeryshore-depth", "2"));
+    let request = &mesh.runs[0].request;
+    assert_eq!(request.header(b"celeryshore-depth").unwrap(), "3");
+    let left = request.header(b"celeryshore-deadline-ms").unwrap();
+    assert!((900..=1_000).contains(&std::str::from_utf8(left).unwrap().parse().unwrap()));
+}
+
+#[test]
+fn newer_version() {
+    let snapshot = ordering(&["glasgow", "perth"]);
+    let mut mesh = Mesh::new(&Arc::new(snapshot.clone()));
+    let next = without_zone(&snapshot, "glasgow");
+    mesh.send("vm-1", celeryshore_kernel::RequestEvent::Configured(next));
+    let call = mesh.call("vm-1", stock());
+    assert_eq!(refusal(&mesh, call), NotRun::Behind);
+    assert_eq!(mesh.catch_ups, 1);
+    assert!(mesh.history.is_empty());
+}
