--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -9,6 +9,7 @@
 mod event;
 mod handing;
 mod headers;
+mod journal;
 mod peer_load;
 mod routes;
 mod timers;
@@ -36,6 +37,13 @@
 pub use self::event::RequestEvent;
 pub use self::event::WorkId;
 use self::handing::Handing;
+pub use self::journal::Begin;
+pub use self::journal::Journal;
+pub use self::journal::JournalConfig;
+pub use self::journal::KeyOutcome;
+pub use self::journal::KeyedCopy;
+pub use self::journal::Standing;
+pub use self::journal::Witness;
 use self::view::View;
 
 /// What a node knows of itself before it knows any configuration.
