--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -11,7 +11,6 @@
 mod headers;
 mod journal;
 mod peer_load;
-mod routes;
 mod timers;
 mod view;
 mod work;
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -12,16 +12,16 @@
 use celeryshore_model::Upstream;
 use celeryshore_model::Version;
 use celeryshore_model::VmName;
+use celeryshore_rules::Router;
 
 use crate::MemberState;
 use crate::requests::RequestsConfig;
-use crate::requests::routes;
 
 /// What a node knows of the configuration and of the other members.
 #[derive(Debug)]
 pub(super) struct View {
     cfg: RequestsConfig,
-    snapshot: Option<Arc<Snapshot>>,
+    router: Option<Router>,
     own: Option<Upstream>,
     members: BTreeMap<VmName, MemberState>,
 }
@@ -31,7 +31,7 @@
     pub(super) const fn new(cfg: RequestsConfig) -> Self {
         Self {
             cfg,
-            snapshot: None,
+            router: None,
             own: None,
             members: BTreeMap::new(),
         }
@@ -48,7 +48,7 @@
             return;
         }
         self.own = snapshot.upstream_on(&self.cfg.vm).cloned();
-        self.snapshot = Some(snapshot);
+        self.router = Some(Router::new(snapshot));
     }
 
     /// Records the state of a member.
@@ -57,15 +57,13 @@
     }
 
     /// Returns the configuration in force.
-    pub(super) const fn snapshot(&self) -> Option<&Arc<Snapshot>> {
-        self.snapshot.as_ref()
+    pub(super) fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.router.as_ref().map(Router::snapshot)
     }
 
     /// Returns the version in force; the lowest one before any.
     pub(super) fn version(&self) -> Version {
-        self.snapshot
-            .as_ref()
-            .map_or_else(Version::default, |s| s.version)
+        self.snapshot().map_or_else(Version::default, |s| s.version)
     }
 
     /// Returns the upstream that lies on this node's own VM.
@@ -76,7 +74,7 @@
     /// Returns the service that this node's own upstream belongs to.
     pub(super) fn own_service(&self) -> Option<&Service> {
         let own = self.own.as_ref()?;
-        self.snapshot.as_ref()?.services.get(&own.service)
+        self.snapshot()?.services.get(&own.service)
     }
 
     /// Returns what this node's own target can bear.
@@ -86,7 +84,7 @@
 
     /// Tells whether this node's own upstream is out of service.
     pub(super) fn is_own_out(&self) -> bool {
-        let snapshot = self.snapshot.as_ref();
+        let snapshot = self.snapshot();
         snapshot
             .zip(self.own.as_ref())
             .is_some_and(|(s, u)| s.is_out(u))
@@ -99,11 +97,16 @@
 
     /// Returns a request kind by its service and name.
     pub(super) fn kind(&self, id: &KindId) -> Option<&Kind> {
-        self.snapshot.as_ref()?.kind(id)
+        self.snapshot()?.kind(id)
     }
 
     /// Finds the request kind that a request is routed to.
     pub(super) fn route(&self, request: &HttpRequest, draw: u64) -> Option<KindId> {
-        routes::find(self.snapshot.as_ref()?, request, draw)
+        let router = self.router.as_ref()?;
+        let route = router.find(request)?;
+        Some(KindId {
+            service: router.service(route, draw).clone(),
+            kind: route.kind.clone(),
+        })
     }
 }
