Add stand-ins for the platform, the targets and the network

The whole path needs something to talk to before it can be run or measured: a key-value service that can only be read and watched, targets with a cold start, and links that go silent. Servers inside the test processes were ruled out, because processes are to be killed one by one.

--- /dev/null
+++ b/crates/standins/src/client.rs
@@ -0,0 +1,161 @@
+//! A small HTTP/1.1 client with one connection that it keeps open.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::headers::CONNECTION;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+use crate::Result;
+use crate::Stream;
+
+const BAD_REQUEST: u16 = 400;
+
+/// An answer with its whole body.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// The whole body.
+    pub body: Vec<u8>,
+    head: Response,
+}
+
+impl Answer {
+    /// Returns the value of a header field.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        Some(self.head.header(name)?.last().as_str())
+    }
+}
+
+/// A client of one address.
+#[derive(Debug)]
+pub struct Client {
+    addr: SocketAddr,
+    timeout: Duration,
+    stream: Option<Stream>,
+}
+
+impl Client {
+    /// Makes a client; the connection opens with the first request.
+    #[must_use]
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            addr,
+            timeout,
+            stream: None,
+        }
+    }
+
+    /// Makes a request to this client's address.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the path is none.
+    #[must_use]
+    pub fn request(&self, method: Method, path: &str) -> Request {
+        let url = format!("http://{}{path}", self.addr);
+        Request::new(method, url.as_str())
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no whole answer comes in time.
+    pub async fn send(&mut self, req: impl Into<Request>) -> Result<Answer> {
+        let timeout = self.timeout;
+        let late = async {
+            Timer::after(timeout).await;
+            Err(Error::Timeout)
+        };
+        self.exchange(req.into()).or(late).await
+    }
+
+    /// Gets a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no JSON document of this type comes in time.
+    pub async fn get<T: DeserializeOwned>(&mut self, path: &str) -> Result<T> {
+        let answer = self.send(self.request(Method::Get, path)).await?;
+        Ok(serde_json::from_slice(&answer.body)?)
+    }
+
+    /// Posts to a control port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the post isn't accepted in time.
+    pub async fn post(&mut self, path: &str) -> Result<Answer> {
+        let req = self.request(Method::Post, path);
+        accepted(self.send(req).await?)
+    }
+
+    /// Puts a document to a control port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the document isn't accepted in time.
+    pub async fn put(&mut self, path: &str, body: &[u8]) -> Result<Answer> {
+        let mut req = self.request(Method::Put, path);
+        req.set_body(body);
+        accepted(self.send(req).await?)
+    }
+
+    async fn exchange(&mut self, req: Request) -> Result<Answer> {
+        // The connection is kept only after a whole answer.
+        let stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => Stream::connect(self.addr).await?,
+        };
+        let mut head = async_h1::connect(stream.clone(), req).await?;
+        let body = head.body_bytes().await?;
+        check_length(&head, body.len())?;
+        if !closes(&head) {
+            self.stream = Some(stream);
+        }
+        Ok(Answer {
+            status: head.status().into(),
+            body,
+            head,
+        })
+    }
+}
+
+fn accepted(answer: Answer) -> Result<Answer> {
+    if answer.status < BAD_REQUEST {
+        return Ok(answer);
+    }
+    Err(Error::Refused {
+        status: answer.status,
+        text: String::from_utf8_lossy(&answer.body).into_owned(),
+    })
+}
+
+fn check_length(head: &Response, found: usize) -> Result<()> {
+    let Some(announced) = head.header("content-length") else {
+        return Ok(());
+    };
+    if announced.last().as_str() == found.to_string() {
+        return Ok(());
+    }
+    Err(Error::Parameter {
+        name: "content-length",
+        found: found.to_string(),
+    })
+}
+
+fn closes(head: &Response) -> bool {
+    let close = |values: &http_types::headers::HeaderValues| {
+        values.last().as_str().eq_ignore_ascii_case("close")
+    };
+    head.header(CONNECTION).is_some_and(close)
+}
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,133 @@
+//! Stand-in for the platform's key-value service.
+//!
+//! Readers get values and watch them by blocking queries. Operators and tests
+//! publish and cause faults on a second port.
+
+mod control;
+mod store;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+
+use self::control::Control;
+use self::store::Call;
+pub use self::store::Calls;
+pub use self::store::Fault;
+use self::store::Store;
+use self::store::Value;
+pub use self::store::Vm;
+use crate::Error;
+use crate::Query;
+use crate::Result;
+use crate::Stream;
+use crate::server;
+use crate::server::Service;
+use crate::server::json;
+use crate::server::text;
+
+const INDEX: &str = "x-consul-index";
+const KV: &str = "/v1/kv/";
+const NODES: &str = "/v1/catalog/nodes";
+const POLL: Duration = Duration::from_millis(5);
+
+/// The platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    store: Arc<Mutex<Store>>,
+}
+
+impl Platform {
+    /// Makes a platform whose list of VMs lags.
+    #[must_use]
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            store: Arc::new(Mutex::new(Store::new(lag))),
+        }
+    }
+
+    /// Serves readers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub async fn serve(self, addr: SocketAddr) -> Result<()> {
+        server::serve(addr, Arc::new(self)).await
+    }
+
+    /// Serves operators and tests.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub async fn control(self, addr: SocketAddr) -> Result<()> {
+        server::serve(addr, Arc::new(Control(self))).await
+    }
+
+    fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn read(&self, key: &str, query: &Query) -> Result<Response> {
+        let index = query.number("index")?.unwrap_or(0);
+        let wait = query.duration("wait")?.unwrap_or_default();
+        let end = Instant::now() + wait;
+        let call = if index > 0 { Call::Watch } else { Call::Read };
+        self.store().count(call);
+        loop {
+            if self.store().is_down() {
+                return Err(Error::Timeout);
+            }
+            let value = self.store().get(key);
+            if index == 0 || value.index > index || Instant::now() >= end {
+                return Ok(found(&value));
+            }
+            Timer::after(POLL).await;
+        }
+    }
+}
+
+impl Service for Platform {
+    async fn answer(&self, req: Request, stream: Stream) -> Result<Response> {
+        let query = Query::of(&req);
+        let path = req.url().path();
+        if let Some(key) = path.strip_prefix(KV) {
+            let gone = async {
+                stream.closed().await;
+                Err(Error::Timeout)
+            };
+            return futures_lite::future::or(self.read(key, &query), gone).await;
+        }
+        if path != NODES {
+            return Ok(text(StatusCode::NotFound, "no such path"));
+        }
+        let mut store = self.store();
+        store.count(Call::Catalog);
+        if store.is_down() {
+            return Err(Error::Timeout);
+        }
+        json(&store.vms())
+    }
+}
+
+fn found(value: &Value) -> Response {
+    let mut res = match &value.data {
+        Some(data) => {
+            let mut res = Response::new(StatusCode::Ok);
+            res.set_body(data.as_ref());
+            res
+        }
+        None => text(StatusCode::NotFound, ""),
+    };
+    res.insert_header(INDEX, value.index.to_string());
+    res
+}
--- /dev/null
+++ b/crates/standins/src/platform/store.rs
@@ -0,0 +1,200 @@
+//! Values, faults and counts of the platform.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::FromStr;
+use serde::Deserialize;
+use serde::Serialize;
+
+const SECOND: Duration = Duration::from_secs(1);
+const FLAP: Duration = Duration::from_secs(1);
+
+/// How the platform misbehaves.
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
+pub enum Fault {
+    /// It does not.
+    #[default]
+    Up,
+    /// It closes connections without an answer.
+    Down,
+    /// It answers with what it held when the fault began.
+    Stale,
+    /// It answers with the values before the newest ones.
+    Older,
+    /// It answers with half of each value.
+    Torn,
+    /// It is down every other second.
+    Flap,
+}
+
+/// A value as a reader sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Value {
+    /// Index of the value's last change.
+    pub index: u64,
+    /// The value, if the key exists.
+    pub data: Option<Bytes>,
+}
+
+/// One VM in the list of live and leaving VMs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Vm {
+    /// Name of the VM.
+    pub node: String,
+    /// Address of the VM.
+    pub address: String,
+    /// Availability zone and state.
+    pub meta: Meta,
+}
+
+/// Availability zone and state of a VM.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Meta {
+    /// Availability zone.
+    pub zone: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// Kind of a reader's call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// A value was read.
+    Read,
+    /// A value was watched.
+    Watch,
+    /// The list of VMs was read.
+    Catalog,
+}
+
+/// Counts of the readers' calls.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Calls {
+    /// Values read at once.
+    pub reads: u64,
+    /// Values watched.
+    pub watches: u64,
+    /// Lists of VMs read.
+    pub catalog: u64,
+    /// Calls of every kind in the last second.
+    pub last_second: usize,
+    /// Most calls in any second.
+    pub peak_second: usize,
+}
+
+/// State of the platform.
+#[derive(Debug)]
+pub struct Store {
+    index: u64,
+    history: HashMap<String, Vec<Value>>,
+    fault: Fault,
+    since: Instant,
+    frozen: u64,
+    lag: Duration,
+    lists: VecDeque<(Instant, Vec<Vm>)>,
+    calls: Calls,
+    recent: VecDeque<Instant>,
+}
+
+impl Store {
+    /// Makes an empty store.
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            index: 1,
+            history: HashMap::new(),
+            fault: Fault::Up,
+            since: Instant::now(),
+            frozen: 0,
+            lag,
+            lists: VecDeque::new(),
+            calls: Calls::default(),
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Sets a value and returns its index.
+    pub fn publish(&mut self, key: &str, data: Bytes) -> u64 {
+        self.index += 1;
+        let value = Value {
+            index: self.index,
+            data: Some(data),
+        };
+        self.history.entry(key.to_owned()).or_default().push(value);
+        self.index
+    }
+
+    /// Returns a value as a reader sees it under the fault of the moment.
+    pub fn get(&self, key: &str) -> Value {
+        let history = self.history.get(key).map_or(&[][..], Vec::as_slice);
+        let seen = match self.fault {
+            Fault::Stale => history.iter().rfind(|v| v.index <= self.frozen),
+            Fault::Older => history.iter().rev().nth(1).or(history.last()),
+            _ => history.last(),
+        };
+        let mut value = seen.cloned().unwrap_or_default();
+        if self.fault == Fault::Torn {
+            value.data = value.data.map(|data| data.slice(..data.len() / 2));
+        }
+        value
+    }
+
+    /// Begins a fault, or ends it with [`Fault::Up`].
+    pub fn misbehave(&mut self, fault: Fault) {
+        self.fault = fault;
+        self.since = Instant::now();
+        self.frozen = self.index;
+    }
+
+    /// Tells whether readers get no answer now.
+    pub fn is_down(&self) -> bool {
+        let periods = self.since.elapsed().as_millis() / FLAP.as_millis();
+        match self.fault {
+            Fault::Down => true,
+            Fault::Flap => periods.is_multiple_of(2),
+            _ => false,
+        }
+    }
+
+    /// Sets the list of VMs; readers see it after the lag.
+    pub fn set_vms(&mut self, vms: Vec<Vm>) {
+        self.lists.push_back((Instant::now() + self.lag, vms));
+    }
+
+    /// Returns the list of VMs as a reader sees it.
+    pub fn vms(&mut self) -> Vec<Vm> {
+        let now = Instant::now();
+        while self.lists.get(1).is_some_and(|(from, _)| *from <= now) {
+            self.lists.pop_front();
+        }
+        let first = self.lists.front().filter(|(from, _)| *from <= now);
+        first.map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+
+    /// Counts a call.
+    pub fn count(&mut self, call: Call) {
+        match call {
+            Call::Read => self.calls.reads += 1,
+            Call::Watch => self.calls.watches += 1,
+            Call::Catalog => self.calls.catalog += 1,
+        }
+        self.recent.push_back(Instant::now());
+        let recent = self.calls().last_second;
+        self.calls.peak_second = self.calls.peak_second.max(recent);
+    }
+
+    /// Returns the counts.
+    pub fn calls(&mut self) -> Calls {
+        let old = |at: &Instant| at.elapsed() > SECOND;
+        while self.recent.front().is_some_and(old) {
+            self.recent.pop_front();
+        }
+        self.calls.last_second = self.recent.len();
+        self.calls
+    }
+}
--- /dev/null
+++ b/crates/standins/src/target.rs
@@ -0,0 +1,232 @@
+//! Stand-in for a target: an HTTP service with slots and a cold start.
+
+mod control;
+mod settings;
+mod state;
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_executor::Task;
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use serde_json::json;
+
+pub use self::control::Control;
+pub use self::settings::Settings;
+use self::state::Admission;
+pub use self::state::Counts;
+use self::state::State;
+use crate::Error;
+use crate::Result;
+use crate::Stream;
+use crate::executor::spawn;
+use crate::server;
+use crate::server::Service;
+use crate::server::text;
+
+const CRASH: &str = "x-crash";
+const DEADLINE: &str = "celeryshore-deadline-ms";
+const KEY: &str = "idempotency-key";
+const NOT_RUN: &str = "x-not-run";
+const POLL: Duration = Duration::from_millis(10);
+const RETRY_AFTER_SECONDS: &str = "1";
+
+/// A target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    addr: SocketAddr,
+    settings: Arc<Settings>,
+    state: Arc<Mutex<State>>,
+}
+
+impl Target {
+    /// Makes a target that starts cold.
+    #[must_use]
+    pub fn new(addr: SocketAddr, settings: Arc<Settings>) -> Self {
+        let state = State::new(addr.port(), settings.clone());
+        Self {
+            addr,
+            settings,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Returns the counts so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.state().counts()
+    }
+
+    /// Serves requests, and starts again after each crash.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub async fn serve(self) -> Result<()> {
+        loop {
+            let crash = async {
+                self.wait_while(|state| !state.is_down()).await;
+                Ok(())
+            };
+            self.accept().or(crash).await?;
+            self.wait_while(State::is_down).await;
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn wait_while(&self, condition: impl Fn(&State) -> bool) {
+        while condition(&self.state()) {
+            Timer::after(POLL).await;
+        }
+    }
+
+    // Dropping this future closes the listener and all connections.
+    async fn accept(&self) -> Result<()> {
+        let listener = Async::<TcpListener>::bind(self.addr)?;
+        let mut connections: Vec<Task<()>> = Vec::new();
+        loop {
+            let (tcp, _) = listener.accept().await?;
+            connections.retain(|task| !task.is_finished());
+            if connections.len() >= self.settings.connections {
+                continue;
+            }
+            let stream = Stream::new(tcp)?;
+            let connection = Connection {
+                generation: self.state().generation(),
+                target: self.clone(),
+            };
+            connections.push(spawn(server::connection(stream, Arc::new(connection))));
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Connection {
+    target: Target,
+    generation: u64,
+}
+
+impl Service for Connection {
+    async fn answer(&self, mut req: Request, stream: Stream) -> Result<Response> {
+        if self.generation < self.target.state().generation() {
+            std::future::pending::<()>().await;
+        }
+        match req.url().path() {
+            "/health" => return Ok(self.health()),
+            "/load" => return server::json(&self.target.state().load()),
+            _ => (),
+        }
+        let body = req.body_bytes().await?;
+        let admission = self.target.state().begin(key(&req));
+        match admission {
+            Admission::Shed => Ok(shed()),
+            Admission::Failed => Ok(text(StatusCode::InternalServerError, "overloaded")),
+            Admission::Runs if req.header(CRASH).is_some() => {
+                self.target.state().crash();
+                Err(Error::Timeout)
+            }
+            Admission::Runs => self.run(&req, &body, stream).await,
+        }
+    }
+}
+
+impl Connection {
+    async fn run(&self, req: &Request, body: &[u8], stream: Stream) -> Result<Response> {
+        let mut running = Running {
+            target: &self.target,
+            finished: false,
+        };
+        let work = async {
+            let time = self.target.state().service_time(req.url().path());
+            Timer::after(time).await;
+            Ok(())
+        };
+        let cancelled = async {
+            stream.closed().await;
+            Err(Error::Timeout)
+        };
+        let late = async {
+            Timer::after(deadline(req)?).await;
+            Err(Error::Timeout)
+        };
+        work.or(cancelled).or(late).await?;
+        running.finished = true;
+        drop(running);
+        let answer = json!({
+            "key": key(req),
+            "path": req.url().path(),
+            "target": self.target.addr.port(),
+            "body": String::from_utf8_lossy(body),
+        });
+        if self.target.state().take_crossed() {
+            spawn(repeat(stream, answer.to_string())).detach();
+        }
+        server::json(&answer)
+    }
+
+    fn health(&self) -> Response {
+        let phase = self.target.state().claimed();
+        let status = match phase {
+            "warm" => StatusCode::Ok,
+            _ => StatusCode::ServiceUnavailable,
+        };
+        let mut res = text(status, &json!({ "phase": phase }).to_string());
+        res.set_content_type(http_types::mime::JSON);
+        res
+    }
+}
+
+fn key(req: &Request) -> Option<&str> {
+    Some(req.header(KEY)?.last().as_str())
+}
+
+fn deadline(req: &Request) -> Result<Duration> {
+    let Some(value) = req.header(DEADLINE) else {
+        return Ok(Duration::MAX);
+    };
+    let millis = value.last().as_str().parse();
+    let millis = millis.map_err(|_| Error::Parameter {
+        name: DEADLINE,
+        found: value.last().to_string(),
+    })?;
+    Ok(Duration::from_millis(millis))
+}
+
+fn shed() -> Response {
+    let mut res = text(StatusCode::ServiceUnavailable, "shed");
+    res.insert_header(NOT_RUN, "1");
+    res.insert_header("retry-after", RETRY_AFTER_SECONDS);
+    res
+}
+
+// Sends an answer a second time, so that it meets the connection's next request.
+async fn repeat(mut stream: Stream, body: String) {
+    Timer::after(POLL).await;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    let _ = stream.write_all((head + &body).as_bytes()).await;
+}
+
+struct Running<'a> {
+    target: &'a Target,
+    finished: bool,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.target.state().end(self.finished);
+    }
+}
