--- /dev/null
+++ b/crates/rules/src/explain.rs
@@ -0,0 +1,220 @@
+//! Why a request goes where it goes.
+
+use std::fmt;
+
+use celeryshore_model::HttpRequest;
+use celeryshore_model::Kind;
+use celeryshore_model::KindId;
+use celeryshore_model::Route;
+use celeryshore_model::RouteMatch;
+use celeryshore_model::RouteName;
+use celeryshore_model::ServiceName;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Upstream;
+use celeryshore_model::UpstreamName;
+use celeryshore_model::VmName;
+use celeryshore_model::Weight;
+use celeryshore_model::ZoneName;
+use derive_more::Display;
+use serde::Serialize;
+
+use crate::router::path_only;
+
+/// Why a request goes where it goes under a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Explanation {
+    /// The route that takes the request.
+    pub route: Option<RouteName>,
+    /// Routes that stand earlier in the file, or all of them if none matches.
+    pub passed_over: Vec<PassedOver>,
+    /// Services that the request can go to.
+    pub choices: Vec<Choice>,
+}
+
+/// A route that does not take the request.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize)]
+#[display("{route}: {reason}")]
+pub struct PassedOver {
+    /// The route.
+    pub route: RouteName,
+    /// Why it does not take the request.
+    pub reason: Mismatch,
+}
+
+/// Why a route does not take a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mismatch {
+    /// The route is for another host.
+    #[display("another host")]
+    Host,
+    /// The path does not start with the route's.
+    #[display("another path")]
+    Path,
+    /// The route is for another method.
+    #[display("another method")]
+    Method,
+}
+
+/// A service that a request can go to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Choice {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight, if the route is split.
+    pub weight: Option<Weight>,
+    /// The request kind.
+    pub kind: Option<Kind>,
+    /// Upstreams of the service.
+    pub upstreams: Vec<Candidate>,
+}
+
+/// An upstream that a request can go to, unless it is out of service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its VM.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether operators have taken it out of service.
+    pub out: bool,
+}
+
+/// Explains where a request goes.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_model::HttpRequest;
+/// use celeryshore_model::Index;
+///
+/// let snapshot = celeryshore_rules::from_str("epoch 1  # ops\n", Index(1))?;
+/// let explanation = celeryshore_rules::explain(&snapshot, &HttpRequest::default());
+/// assert!(explanation.route.is_none());
+/// assert_eq!(explanation.to_string(), "no route takes the request\n");
+/// # Ok::<(), celeryshore_rules::Error>(())
+/// ```
+#[must_use]
+pub fn explain(snapshot: &Snapshot, req: &HttpRequest) -> Explanation {
+    let mut passed_over = Vec::new();
+    for route in &snapshot.routes {
+        let Some(reason) = mismatch(&route.matches, req) else {
+            return Explanation {
+                route: Some(route.name.clone()),
+                passed_over,
+                choices: choices(snapshot, route),
+            };
+        };
+        passed_over.push(PassedOver {
+            route: route.name.clone(),
+            reason,
+        });
+    }
+    Explanation {
+        route: None,
+        passed_over,
+        choices: Vec::new(),
+    }
+}
+
+fn mismatch(matches: &RouteMatch, req: &HttpRequest) -> Option<Mismatch> {
+    let host = matches.host.as_ref();
+    if host.is_some_and(|host| !req.host.eq_ignore_ascii_case(host.as_bytes())) {
+        return Some(Mismatch::Host);
+    }
+    if !takes_path(matches.path.as_bytes(), path_only(&req.path)) {
+        return Some(Mismatch::Path);
+    }
+    let method = matches.method.as_ref();
+    let other_method = method.is_some_and(|method| req.method != method.as_bytes());
+    other_method.then_some(Mismatch::Method)
+}
+
+fn takes_path(start: &[u8], path: &[u8]) -> bool {
+    let rest = path.strip_prefix(start);
+    rest.is_some_and(|rest| start == b"/" || rest.is_empty() || rest.starts_with(b"/"))
+}
+
+fn choices(snapshot: &Snapshot, route: &Route) -> Vec<Choice> {
+    if route.splits.is_empty() {
+        return vec![choice(snapshot, route, &route.service, None)];
+    }
+    let splits = route.splits.iter();
+    splits
+        .map(|split| choice(snapshot, route, &split.service, Some(split.weight)))
+        .collect()
+}
+
+fn choice(
+    snapshot: &Snapshot,
+    route: &Route,
+    service: &ServiceName,
+    weight: Option<Weight>,
+) -> Choice {
+    let id = KindId {
+        service: service.clone(),
+        kind: route.kind.clone(),
+    };
+    let upstreams = snapshot.services.get(service).map(|s| s.upstreams.iter());
+    let upstreams = upstreams.into_iter().flatten();
+    let upstreams = upstreams.filter_map(|name| snapshot.upstreams.get(name));
+    Choice {
+        service: service.clone(),
+        weight,
+        kind: snapshot.kind(&id).cloned(),
+        upstreams: upstreams.map(|u| candidate(snapshot, u)).collect(),
+    }
+}
+
+fn candidate(snapshot: &Snapshot, upstream: &Upstream) -> Candidate {
+    Candidate {
+        upstream: upstream.name.clone(),
+        vm: upstream.vm.clone(),
+        zone: upstream.zone.clone(),
+        out: snapshot.is_out(upstream),
+    }
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for passed_over in &self.passed_over {
+            writeln!(f, "not route {passed_over}")?;
+        }
+        match &self.route {
+            Some(route) => writeln!(f, "route {route}")?,
+            None => writeln!(f, "no route takes the request")?,
+        }
+        self.choices.iter().try_for_each(|choice| choice.fmt(f))
+    }
+}
+
+impl fmt::Display for Choice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "  service {}", self.service)?;
+        if let Some(weight) = self.weight {
+            write!(f, " weight {weight}")?;
+        }
+        if let Some(kind) = &self.kind {
+            let Kind {
+                name,
+                semantics,
+                deadline,
+            } = kind;
+            write!(f, ", kind {name} ({semantics}, {deadline:?})")?;
+        }
+        writeln!(f)?;
+        self.upstreams.iter().try_for_each(|u| u.fmt(f))
+    }
+}
+
+impl fmt::Display for Candidate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            upstream, vm, zone, ..
+        } = self;
+        let state = if self.out { "out" } else { "in" };
+        writeln!(f, "    {state:<3} upstream {upstream} on {vm} in {zone}")
+    }
+}
--- /dev/null
+++ b/crates/rules/src/text.rs
@@ -0,0 +1,107 @@
+//! The rules of a snapshot in their usual form.
+
+use celeryshore_model::Kind;
+use celeryshore_model::Route;
+use celeryshore_model::Service;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Upstream;
+
+/// A rule, parted into the words that name it and its values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RuleText {
+    /// Keyword and name.
+    pub(crate) name: String,
+    /// Values, with defaults filled in.
+    pub(crate) values: String,
+}
+
+fn rule(name: String, values: String) -> RuleText {
+    RuleText { name, values }
+}
+
+/// Returns every rule of a snapshot in its usual form.
+pub(crate) fn rules(snapshot: &Snapshot) -> Vec<RuleText> {
+    let epoch = snapshot.version.epoch.to_string();
+    let mut rules = vec![rule("epoch".to_owned(), epoch)];
+    for zone in snapshot.zones.values() {
+        rules.push(rule(
+            format!("zone {}", zone.name),
+            format!("region={}", zone.region),
+        ));
+    }
+    for service in snapshot.services.values() {
+        rules.push(service_rule(service));
+        rules.push(retry_rule(service));
+        rules.extend(service.kinds.values().map(|kind| kind_rule(service, kind)));
+    }
+    rules.extend(snapshot.upstreams.values().map(upstream_rule));
+    for route in &snapshot.routes {
+        rules.push(route_rule(route));
+        rules.extend(split_rule(route));
+    }
+    let zones = snapshot.outages.zones.iter();
+    rules.extend(zones.map(|zone| rule(format!("out zone={zone}"), String::new())));
+    let vms = snapshot.outages.vms.iter();
+    rules.extend(vms.map(|vm| rule(format!("out vm={vm}"), String::new())));
+    rules
+}
+
+fn service_rule(service: &Service) -> RuleText {
+    let limits = &service.limits;
+    let values = format!(
+        "slots={} cold-slots={} queue={} connections={} body={}",
+        limits.slots, limits.cold_slots, limits.queue, limits.connections, limits.body
+    );
+    rule(format!("service {}", service.name), values)
+}
+
+fn retry_rule(service: &Service) -> RuleText {
+    let retry = &service.retry;
+    let values = format!("attempts={} budget={}", retry.attempts, retry.budget);
+    rule(format!("retry {}", service.name), values)
+}
+
+fn kind_rule(service: &Service, kind: &Kind) -> RuleText {
+    let deadline = humantime::format_duration(kind.deadline);
+    let values = format!("semantics={} deadline={deadline}", kind.semantics);
+    rule(format!("kind {}/{}", service.name, kind.name), values)
+}
+
+fn upstream_rule(upstream: &Upstream) -> RuleText {
+    let Upstream {
+        name,
+        service,
+        vm,
+        zone,
+        peer,
+        control,
+    } = upstream;
+    let values = format!("service={service} zone={zone} vm={vm} peer={peer} control={control}");
+    rule(format!("upstream {name}"), values)
+}
+
+fn route_rule(route: &Route) -> RuleText {
+    let matches = &route.matches;
+    let mut values = format!(
+        "path={} service={} kind={}",
+        matches.path, route.service, route.kind
+    );
+    if let Some(host) = &matches.host {
+        values.push_str(" host=");
+        values.push_str(host);
+    }
+    if let Some(method) = &matches.method {
+        values.push_str(" method=");
+        values.push_str(method);
+    }
+    rule(format!("route {}", route.name), values)
+}
+
+fn split_rule(route: &Route) -> Option<RuleText> {
+    let splits = route.splits.iter();
+    let weights: Vec<_> = splits
+        .map(|s| format!("{}={}", s.service, s.weight))
+        .collect();
+    let name = format!("split {}", route.name);
+    (!weights.is_empty()).then(|| rule(name, weights.join(" ")))
+}
