Bound the load of a target by its own answers

Cause: every target was taken as warm, and a node that had just started gave it all its slots at once. Ruled out: the target's health reports as a measure; they lag, so they may only lower the limit, and only where no fresh answers contradict them. Change: the limit begins at the cold slots, rises by half after a round of answers under load, and falls on shedding, resets and jumps of the answer time; work waits only as long as it can still end in time; serving, draining and drained are states of a typestate life cycle.

--- /dev/null
+++ b/crates/kernel/src/requests/admitting/check.rs
@@ -0,0 +1,60 @@
+//! Checks that a hand-over passes before it asks for a slot.
+
+use celeryshore_model::Semantics;
+
+use crate::Delivery;
+use crate::Handover;
+use crate::NotRun;
+use crate::requests::RequestAction;
+use crate::requests::context::Context;
+
+/// Result of the checks.
+pub(super) type Result<T> = std::result::Result<T, NotRun>;
+
+/// Checks a hand-over against this node's configuration and state.
+pub(super) fn check(cx: &mut Context<'_>, handover: &Handover) -> Result<()> {
+    check_version(cx, handover)?;
+    check_upstream(cx, handover)?;
+    check_kind(cx, handover)
+}
+
+fn check_version(cx: &mut Context<'_>, handover: &Handover) -> Result<()> {
+    if cx.view.snapshot().is_none() {
+        return Err(NotRun::Learning);
+    }
+    if handover.version > cx.view.version() {
+        cx.actions.push(RequestAction::CatchUp {
+            version: handover.version,
+            from: handover.from.clone(),
+        });
+        return Err(NotRun::Behind);
+    }
+    Ok(())
+}
+
+fn check_upstream(cx: &Context<'_>, handover: &Handover) -> Result<()> {
+    let own = cx.view.own().ok_or(NotRun::NotHere)?;
+    if own.name != handover.upstream || own.service != handover.kind.service {
+        return Err(NotRun::NotHere);
+    }
+    if cx.view.is_own_out() {
+        return Err(NotRun::OutOfService);
+    }
+    if cx.view.is_leaving() {
+        return Err(NotRun::Leaving);
+    }
+    Ok(())
+}
+
+fn check_kind(cx: &Context<'_>, handover: &Handover) -> Result<()> {
+    let kind = cx.view.kind(&handover.kind).ok_or(NotRun::NotHere)?;
+    let is_repeatable = handover.delivery == Delivery::Repeatable;
+    if is_repeatable != (kind.semantics == Semantics::Idempotent) {
+        return Err(NotRun::NotHere);
+    }
+    let limits = cx.view.own_limits().ok_or(NotRun::NotHere)?;
+    if handover.request.body.len() as u64 > limits.body.get() {
+        return Err(NotRun::TooLarge);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/kernel/src/requests/admitting/outcome.rs
@@ -0,0 +1,51 @@
+//! What the outcome at the target means for the handing node.
+
+use std::time::Duration;
+
+use celeryshore_model::HttpResponse;
+
+use super::admission::Refusal;
+use crate::NotRun;
+use crate::ReplyOutcome;
+use crate::Unknown;
+use crate::requests::Outcome;
+use crate::requests::headers;
+
+/// When to come back after a refusal that has nothing to do with load.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Translates the outcome at the target.
+pub(super) fn reply_outcome(outcome: Outcome) -> ReplyOutcome {
+    match outcome {
+        Outcome::Answered(response) if headers::is_not_run(&response) => shed(&response).into(),
+        Outcome::Answered(response) => ReplyOutcome::Answered(response),
+        Outcome::NeverSent => Refusal::new(NotRun::TargetDown).into(),
+        Outcome::Broken | Outcome::Silent => ReplyOutcome::Unknown(Unknown::TargetLost),
+    }
+}
+
+fn shed(response: &HttpResponse) -> Refusal {
+    Refusal {
+        reason: NotRun::Overloaded,
+        retry_after: headers::retry_after(response).unwrap_or(RETRY_AFTER),
+    }
+}
+
+impl Refusal {
+    /// Makes a refusal that has nothing to do with load.
+    pub(super) const fn new(reason: NotRun) -> Self {
+        Self {
+            reason,
+            retry_after: RETRY_AFTER,
+        }
+    }
+}
+
+impl From<Refusal> for ReplyOutcome {
+    fn from(refusal: Refusal) -> Self {
+        Self::NotRun {
+            reason: refusal.reason,
+            retry_after: refusal.retry_after,
+        }
+    }
+}
--- a/crates/kernel/src/requests/balancer.rs
+++ b/crates/kernel/src/requests/balancer.rs
@@ -111,7 +111,7 @@
             .iter()
             .filter(|name| !call.tried.contains(name))
             .filter_map(|name| snapshot.upstreams.get(name))
-            .filter(|u| !snapshot.is_out(u) && is_usable(cx.view.member(&u.vm)))
+            .filter(|u| !snapshot.is_out(u) && cx.view.is_usable(&u.vm))
             .map(|u| self.candidate(cx, snapshot, service, u))
             .collect()
     }
@@ -137,10 +137,6 @@
     }
 }
 
-const fn is_usable(state: MemberState) -> bool {
-    matches!(state, MemberState::Alive | MemberState::Suspect)
-}
-
 /// Tells whether a refusal holds for some time, whatever the load.
 const fn is_lasting(reason: NotRun) -> bool {
     matches!(
--- a/crates/kernel/src/requests/call.rs
+++ b/crates/kernel/src/requests/call.rs
@@ -64,6 +64,9 @@
 impl Call {
     /// Routes a request and checks it against the limits of its service.
     pub(super) fn route(cx: &Context<'_>, request: HttpRequest, draw: u64) -> Result<Self> {
+        if cx.view.is_closed() {
+            return Err(NotRun::Leaving);
+        }
         let snapshot = cx.view.snapshot().ok_or(NotRun::Learning)?;
         let kind = cx.view.route(&request, draw).ok_or(NotRun::NoRoute)?;
         let service = snapshot
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -49,7 +49,8 @@
                 self.admitting.expire(cx);
                 self.handing.expire(cx);
             }
-            RequestEvent::Probed { .. } | RequestEvent::Member { .. } | RequestEvent::Drain => {}
+            RequestEvent::Probed { claimed } => self.admitting.probed(cx, claimed),
+            RequestEvent::Member { .. } | RequestEvent::Drain => {}
         }
     }
 
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -1,6 +1,5 @@
 //! Decisions about requests: routing, admission, retries, at most once.
 
-mod admission;
 mod admitting;
 mod balancer;
 mod call;
@@ -10,12 +9,14 @@
 mod handing;
 mod headers;
 mod journal;
+mod lifecycle;
 mod peer_load;
+mod section;
 mod timers;
 mod view;
-mod work;
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
@@ -43,7 +44,10 @@
 pub use self::journal::KeyedCopy;
 pub use self::journal::Standing;
 pub use self::journal::Witness;
+use self::lifecycle::Lifecycle;
+use self::lifecycle::Stage;
 use self::view::View;
+use crate::MemberState;
 
 /// What a node knows of itself before it knows any configuration.
 #[derive(Clone, Debug)]
@@ -58,6 +62,9 @@
     pub seed: u64,
 }
 
+/// Time after the begin of a drain in which new calls are handed to other nodes.
+const HAND_ON: Duration = Duration::from_secs(3);
+
 /// Decides about requests, as the handing node and as the admitting node.
 #[derive(Debug)]
 pub struct Requests {
@@ -65,8 +72,7 @@
     sides: Sides,
     exchanges: u64,
     wake_at: Option<Time>,
-    is_draining: bool,
-    is_drained: bool,
+    stage: Stage,
 }
 
 impl Requests {
@@ -92,7 +98,6 @@
     /// ```
     #[must_use]
     pub fn new(cfg: RequestsConfig, now: Now) -> Self {
-        let _ = now;
         Self {
             sides: Sides {
                 handing: Handing::new(cfg.seed),
@@ -101,8 +106,7 @@
             view: View::new(cfg),
             exchanges: 0,
             wake_at: None,
-            is_draining: false,
-            is_drained: false,
+            stage: Lifecycle::new(now.mono).into(),
         }
     }
 
@@ -142,14 +146,7 @@
     /// # Ok::<(), celeryshore_model::Error>(())
     /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
-        if let RequestEvent::Member { vm, state } = event {
-            self.view.observe(vm, state);
-            return;
-        }
-        if let RequestEvent::Configured(snapshot) = &event {
-            self.view.configure(snapshot.clone());
-        }
-        self.is_draining |= matches!(event, RequestEvent::Drain);
+        self.prepare(now, &event);
         let mut loopback = VecDeque::new();
         let mut cx = Context {
             now,
@@ -174,9 +171,39 @@
         }
         self.wake_at = wake_at;
         let is_idle = self.sides.handing.open() == 0 && self.sides.admitting.open() == 0;
-        if self.is_draining && is_idle && !self.is_drained {
-            self.is_drained = true;
+        if is_idle && self.stage.draining_since().is_some() {
+            self.replace_stage(Stage::finish);
             actions.push(RequestAction::Drained);
         }
     }
+
+    /// Brings the view up to date before an event is decided on.
+    fn prepare(&mut self, now: Now, event: &RequestEvent) {
+        match event {
+            RequestEvent::Configured(snapshot) => self.view.configure(snapshot.clone()),
+            RequestEvent::Member { vm, state } => {
+                self.view.observe(vm.clone(), *state);
+                if *vm == self.view.cfg().vm && *state == MemberState::Leaving {
+                    self.drain(now);
+                }
+            }
+            RequestEvent::Drain => self.drain(now),
+            _ => {}
+        }
+        let is_over = self
+            .stage
+            .draining_since()
+            .is_some_and(|since| now.mono - since > HAND_ON);
+        self.view.set_closed(is_over || self.stage.is_drained());
+    }
+
+    fn drain(&mut self, now: Now) {
+        self.replace_stage(|stage| stage.drain(now.mono));
+        self.view.leave();
+    }
+
+    fn replace_stage(&mut self, change: impl FnOnce(Stage) -> Stage) {
+        let stage = std::mem::replace(&mut self.stage, Lifecycle::new(Time::ZERO).into());
+        self.stage = change(stage);
+    }
 }
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -24,6 +24,8 @@
     router: Option<Router>,
     own: Option<Upstream>,
     members: BTreeMap<VmName, MemberState>,
+    is_leaving: bool,
+    is_closed: bool,
 }
 
 impl View {
@@ -34,6 +36,8 @@
             router: None,
             own: None,
             members: BTreeMap::new(),
+            is_leaving: false,
+            is_closed: false,
         }
     }
 
@@ -56,6 +60,26 @@
         self.members.insert(vm, state);
     }
 
+    /// Records that this node is to leave.
+    pub(super) const fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Tells whether this node is to leave.
+    pub(super) const fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Records whether calls are no longer handed to other nodes.
+    pub(super) const fn set_closed(&mut self, is_closed: bool) {
+        self.is_closed = is_closed;
+    }
+
+    /// Tells whether calls are no longer handed to other nodes.
+    pub(super) const fn is_closed(&self) -> bool {
+        self.is_closed
+    }
+
     /// Returns the configuration in force.
     pub(super) fn snapshot(&self) -> Option<&Arc<Snapshot>> {
         self.router.as_ref().map(Router::snapshot)
@@ -95,6 +119,14 @@
         self.members.get(vm).copied().unwrap_or_default()
     }
 
+    /// Tells whether new work may go to the node on a VM.
+    pub(super) fn is_usable(&self, vm: &VmName) -> bool {
+        if *vm == self.cfg.vm {
+            return !self.is_leaving;
+        }
+        matches!(self.member(vm), MemberState::Alive | MemberState::Suspect)
+    }
+
     /// Returns a request kind by its service and name.
     pub(super) fn kind(&self, id: &KindId) -> Option<&Kind> {
         self.snapshot()?.kind(id)
--- /dev/null
+++ b/crates/kernel/tests/cold_start.rs
@@ -0,0 +1,150 @@
+//! Load of a target in cold start.
+
+mod common;
+
+use std::sync::Arc;
+
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::Phase;
+use celeryshore_kernel::RequestEvent;
+
+use crate::common::Mesh;
+use crate::common::Run;
+use crate::common::deployment::ordering;
+use crate::common::deployment::stock;
+use crate::common::response;
+
+const COLD_SLOTS: usize = 2;
+const SLOTS: usize = 6;
+const SERVICE_TIME: u64 = 20;
+
+fn mesh() -> Mesh {
+    Mesh::new(&Arc::new(ordering(&["glasgow"])))
+}
+
+/// Keeps the target under full load for some rounds of answers.
+fn load(mesh: &mut Mesh, rounds: usize, service_time: u64) -> usize {
+    let mut peak = 0;
+    for _ in 0..rounds {
+        fill(mesh);
+        peak = peak.max(mesh.runs.len());
+        mesh.advance(service_time);
+        for run in mesh.runs.clone() {
+            mesh.finish(&run, Outcome::Answered(response(200, "")));
+        }
+    }
+    peak
+}
+
+fn fill(mesh: &mut Mesh) -> Vec<Run> {
+    for _ in 0..10 {
+        mesh.call("vm-1", stock());
+    }
+    mesh.runs.clone()
+}
+
+fn warm() -> Mesh {
+    let mut mesh = mesh();
+    load(&mut mesh, 200, SERVICE_TIME);
+    assert_eq!(fill(&mut mesh).len(), SLOTS);
+    mesh
+}
+
+#[test]
+fn new_node() {
+    let mut mesh = mesh();
+    assert_eq!(fill(&mut mesh).len(), COLD_SLOTS);
+}
+
+#[test]
+fn gradual_ramp() {
+    let mut mesh = mesh();
+    assert_eq!(load(&mut mesh, 2, SERVICE_TIME), COLD_SLOTS);
+    let soon = load(&mut mesh, 15, SERVICE_TIME);
+    assert!((COLD_SLOTS..SLOTS).contains(&soon), "{soon}");
+    assert_eq!(load(&mut mesh, 200, SERVICE_TIME), SLOTS);
+}
+
+#[test]
+fn idle_target() {
+    let mut mesh = mesh();
+    for _ in 0..200 {
+        mesh.call("vm-1", stock());
+        mesh.advance(SERVICE_TIME);
+        mesh.answer("");
+    }
+    let runs = fill(&mut mesh).len();
+    assert!(runs <= COLD_SLOTS + 1, "{runs} without evidence of load");
+}
+
+#[test]
+fn repeated_shedding() {
+    let mut mesh = warm();
+    for run in mesh.runs.clone().into_iter().take(2) {
+        mesh.finish(&run, Outcome::Answered(response(503, "")));
+    }
+    while mesh.runs.len() >= COLD_SLOTS {
+        mesh.answer("");
+    }
+    fill(&mut mesh);
+    assert_eq!(mesh.runs.len(), COLD_SLOTS);
+}
+
+#[test]
+fn reset_connection() {
+    let mut mesh = warm();
+    for run in mesh.runs.clone() {
+        mesh.finish(&run, Outcome::Broken);
+    }
+    assert_eq!(fill(&mut mesh).len(), COLD_SLOTS);
+}
+
+#[test]
+fn slower_answers() {
+    let mut mesh = warm();
+    mesh.advance(SERVICE_TIME * 10);
+    for run in mesh.runs.clone().into_iter().take(3) {
+        mesh.finish(&run, Outcome::Answered(response(200, "")));
+    }
+    while mesh.runs.len() > 1 {
+        mesh.answer("");
+    }
+    fill(&mut mesh);
+    assert_eq!(mesh.runs.len(), COLD_SLOTS);
+}
+
+#[test]
+fn slower_second_ramp() {
+    let mut mesh = warm();
+    for run in mesh.runs.clone() {
+        mesh.finish(&run, Outcome::Broken);
+    }
+    let peak = load(&mut mesh, 40, SERVICE_TIME);
+    assert!(peak < SLOTS, "{peak}");
+    assert_eq!(load(&mut mesh, 400, SERVICE_TIME), SLOTS);
+}
+
+#[test]
+fn health_reports() {
+    let mut mesh = mesh();
+    let claimed = Phase::Warm;
+    mesh.send("vm-1", RequestEvent::Probed { claimed });
+    assert_eq!(fill(&mut mesh).len(), COLD_SLOTS, "never raised");
+
+    let mut mesh = warm();
+    let claimed = Phase::Cold;
+    mesh.send("vm-1", RequestEvent::Probed { claimed });
+    mesh.answer("");
+    fill(&mut mesh);
+    assert_eq!(mesh.runs.len(), SLOTS, "fresh evidence counts more");
+
+    for run in mesh.runs.clone() {
+        mesh.finish(&run, Outcome::Answered(response(200, "")));
+    }
+    while !mesh.runs.is_empty() {
+        mesh.answer("");
+    }
+    mesh.advance(2_000);
+    mesh.send("vm-1", RequestEvent::Probed { claimed });
+    assert_eq!(fill(&mut mesh).len(), COLD_SLOTS, "lowered when idle");
+}
