--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -1,13 +1,32 @@
 //! Decisions about requests: routing, admission, retries, at most once.
 
+mod admitting;
+mod balancer;
+mod call;
+mod context;
+mod dispatch;
 mod event;
+mod handing;
+mod headers;
 mod journal;
+mod lifecycle;
+mod peer_load;
+mod section;
+mod timers;
+mod view;
+
+use std::collections::VecDeque;
+use std::time::Duration;
 
 use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
+use celeryshore_model::Time;
 use celeryshore_model::VmName;
 use celeryshore_model::ZoneName;
 
+use self::admitting::Admitting;
+use self::context::Context;
+use self::dispatch::Sides;
 pub use self::event::Answer;
 pub use self::event::CallId;
 pub use self::event::ExchangeId;
@@ -17,6 +36,7 @@
 pub use self::event::RequestAction;
 pub use self::event::RequestEvent;
 pub use self::event::WorkId;
+use self::handing::Handing;
 pub use self::journal::Begin;
 pub use self::journal::Journal;
 pub use self::journal::JournalConfig;
@@ -24,6 +44,10 @@
 pub use self::journal::KeyedCopy;
 pub use self::journal::Standing;
 pub use self::journal::Witness;
+use self::lifecycle::Lifecycle;
+use self::lifecycle::Stage;
+use self::view::View;
+use crate::MemberState;
 
 /// What a node knows of itself before it knows any configuration.
 #[derive(Clone, Debug)]
@@ -38,22 +62,148 @@
     pub seed: u64,
 }
 
+/// Time after the begin of a drain in which new calls are handed to other nodes.
+const HAND_ON: Duration = Duration::from_secs(3);
+
 /// Decides about requests, as the handing node and as the admitting node.
 #[derive(Debug)]
 pub struct Requests {
-    cfg: RequestsConfig,
+    view: View,
+    sides: Sides,
+    exchanges: u64,
+    wake_at: Option<Time>,
+    stage: Stage,
 }
 
 impl Requests {
     /// Makes the decisions of a process that starts now and knows nothing.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::Requests;
+    /// use celeryshore_kernel::RequestsConfig;
+    /// use celeryshore_model::Incarnation;
+    /// use celeryshore_model::Now;
+    ///
+    /// let cfg = RequestsConfig {
+    ///     vm: "vm-1".parse()?,
+    ///     zone: "glasgow".parse()?,
+    ///     incarnation: Incarnation(1),
+    ///     seed: 1,
+    /// };
+    /// let requests = Requests::new(cfg, Now::default());
+    /// # let _ = requests;
+    /// # Ok::<(), celeryshore_model::Error>(())
+    /// ```
     #[must_use]
     pub fn new(cfg: RequestsConfig, now: Now) -> Self {
-        let _ = now;
-        Self { cfg }
+        Self {
+            sides: Sides {
+                handing: Handing::new(cfg.seed),
+                admitting: Admitting::new(),
+            },
+            view: View::new(cfg),
+            exchanges: 0,
+            wake_at: None,
+            stage: Lifecycle::new(now.mono).into(),
+        }
     }
 
     /// Takes one event and appends what is to be done to `actions`.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::Answer;
+    /// use celeryshore_kernel::CallId;
+    /// use celeryshore_kernel::NotRun;
+    /// use celeryshore_kernel::RequestAction;
+    /// use celeryshore_kernel::RequestEvent;
+    /// # use celeryshore_kernel::Requests;
+    /// # use celeryshore_kernel::RequestsConfig;
+    /// use celeryshore_model::HttpRequest;
+    /// # use celeryshore_model::Incarnation;
+    /// use celeryshore_model::Now;
+    ///
+    /// # let cfg = RequestsConfig {
+    /// #     vm: "vm-1".parse()?,
+    /// #     zone: "glasgow".parse()?,
+    /// #     incarnation: Incarnation(1),
+    /// #     seed: 1,
+    /// # };
+    /// # let mut requests = Requests::new(cfg, Now::default());
+    /// let event = RequestEvent::Arrived {
+    ///     call: CallId(1),
+    ///     request: HttpRequest::default(),
+    /// };
+    /// let mut actions = Vec::new();
+    /// requests.handle(Now::default(), event, &mut actions);
+    /// let RequestAction::Answer { answer, .. } = &actions[0] else {
+    ///     panic!("an answer");
+    /// };
+    /// assert!(matches!(answer, Answer::NotRun { reason: NotRun::Learning, .. }));
+    /// # Ok::<(), celeryshore_model::Error>(())
+    /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
-        let _ = (now, event, actions, &self.cfg);
+        self.prepare(now, &event);
+        let mut loopback = VecDeque::new();
+        let mut cx = Context {
+            now,
+            view: &self.view,
+            actions,
+            loopback: &mut loopback,
+            exchanges: &mut self.exchanges,
+        };
+        self.sides.handle(&mut cx, event);
+        self.settle(actions);
+    }
+
+    /// Asks for the next tick and reports the end of a drain.
+    fn settle(&mut self, actions: &mut Vec<RequestAction>) {
+        let due = [
+            self.sides.handing.next_due(),
+            self.sides.admitting.next_due(),
+        ];
+        let wake_at = due.into_iter().flatten().min();
+        if let Some(at) = wake_at.filter(|_| wake_at != self.wake_at) {
+            actions.push(RequestAction::WakeAt(at));
+        }
+        self.wake_at = wake_at;
+        let is_idle = self.sides.handing.open() == 0 && self.sides.admitting.open() == 0;
+        if is_idle && self.stage.draining_since().is_some() {
+            self.replace_stage(Stage::finish);
+            actions.push(RequestAction::Drained);
+        }
+    }
+
+    /// Brings the view up to date before an event is decided on.
+    fn prepare(&mut self, now: Now, event: &RequestEvent) {
+        match event {
+            RequestEvent::Configured(snapshot) => self.view.configure(snapshot.clone()),
+            RequestEvent::Member { vm, state } => {
+                self.view.observe(vm.clone(), *state);
+                if *vm == self.view.cfg().vm && *state == MemberState::Leaving {
+                    self.drain(now);
+                }
+            }
+            RequestEvent::Drain => self.drain(now),
+            _ => {}
+        }
+        let is_over = self
+            .stage
+            .draining_since()
+            .is_some_and(|since| now.mono - since > HAND_ON);
+        self.view.set_closed(is_over || self.stage.is_drained());
+    }
+
+    fn drain(&mut self, now: Now) {
+        self.replace_stage(|stage| stage.drain(now.mono));
+        self.view.leave();
+    }
+
+    fn replace_stage(&mut self, change: impl FnOnce(Stage) -> Stage) {
+        let stage = std::mem::replace(&mut self.stage, Lifecycle::new(Time::ZERO).into());
+        self.stage = change(stage);
     }
 }
