--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -118,6 +118,9 @@
                 return;
             };
             let link = self.change(near, |link| *link);
+            if link.mode == Mode::Cut {
+                return;
+            }
             if link.mode == Mode::Silent || number <= link.forgotten {
                 std::future::pending::<()>().await;
             }
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -54,7 +54,7 @@
     /// Makes a target that starts cold.
     #[must_use]
     pub fn new(addr: SocketAddr, settings: Arc<Settings>) -> Self {
-        let state = State::new(addr.port(), settings.clone());
+        let state = State::new(addr, settings.clone());
         Self {
             addr,
             settings,
@@ -122,6 +122,9 @@
 
 impl Service for Connection {
     async fn answer(&self, mut req: Request, stream: Stream) -> Result<Response> {
+        if self.target.state().is_down() {
+            return Err(Error::Timeout);
+        }
         if self.generation < self.target.state().generation() {
             std::future::pending::<()>().await;
         }
@@ -169,7 +172,7 @@
         let answer = json!({
             "key": key(req),
             "path": req.url().path(),
-            "target": self.target.addr.port(),
+            "target": self.target.addr,
             "body": String::from_utf8_lossy(body),
         });
         if self.target.state().take_crossed() {
