Let callers honour Retry-After and follow the nodes that run

Each scenario and the demonstration kept their own list of running nodes, and the naive client had its own copy of the load loop; a forgotten update would have counted as service lost. Passing the list through every scenario was ruled out. The fleet now keeps the list, and a load takes a route, so that the naive client is one function.

--- a/crates/trials/examples/demo.rs
+++ b/crates/trials/examples/demo.rs
@@ -1,9 +1,6 @@
 //! Demonstration: both deployments as processes on loopback, and their promises.
 
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,7 +21,6 @@
 use celeryshore_trials::fleet::Targets;
 use celeryshore_trials::load;
 use celeryshore_trials::load::Load;
-use celeryshore_trials::load::Nodes;
 use celeryshore_trials::load::Summary;
 use celeryshore_trials::process::Signal;
 use celeryshore_trials::report;
@@ -129,8 +125,8 @@
     for kind in fleet.deployment.kinds().filter(|k| !k.idempotent) {
         let key = Caller::key();
         for (attempt, node) in (1..=SENDS).zip(nodes.iter().step_by(3)) {
-            let (end, _) = caller.send(kind, *node, &key, attempt, DEADLINE).await;
-            ends.push(end);
+            let reply = caller.send(kind, *node, &key, attempt, DEADLINE).await;
+            ends.push(reply.end);
         }
         keys.push(key);
     }
@@ -159,16 +155,15 @@
 }
 
 async fn under_load(fleet: &mut Fleet) -> Result<Vec<Promise>> {
-    let nodes: Nodes = Arc::new(Mutex::new(fleet.callers()));
     let load = Load {
         kinds: fleet.deployment.kinds().collect(),
         pause: LOAD_PAUSE,
         duration: LOAD_TIME,
     };
-    let load = spawn(load::run(load, nodes.clone()));
+    let load = spawn(load::run(load, fleet.callers.clone().route()));
     let mut promises = zone_out_and_back(fleet).await?;
-    promises.push(kill(fleet, &nodes).await?);
-    promises.push(terminate(fleet, &nodes).await?);
+    promises.push(kill(fleet).await?);
+    promises.push(terminate(fleet).await?);
     let records = load.await;
     promises.extend(judge(&records, &fleet.counts().await?));
     Ok(promises)
@@ -213,23 +208,20 @@
     Ok(own.map(|(counts, _)| counts.started).sum())
 }
 
-async fn kill(fleet: &mut Fleet, nodes: &Nodes) -> Result<Promise> {
+async fn kill(fleet: &mut Fleet) -> Result<Promise> {
     fleet.kill_node(0);
-    set(nodes, fleet);
     Timer::after(PAUSE).await;
     fleet.start_node(0)?;
     let started = Instant::now();
     fleet.ready(CONVERGENCE).await?;
-    set(nodes, fleet);
     let seen = format!("ready {} after its restart", Millis(started.elapsed()));
     Ok(promise("a killed node comes back", seen, true))
 }
 
-async fn terminate(fleet: &mut Fleet, nodes: &Nodes) -> Result<Promise> {
-    let Some(mut node) = fleet.nodes[1].take() else {
+async fn terminate(fleet: &mut Fleet) -> Result<Promise> {
+    let Some(mut node) = fleet.take_node(1) else {
         anyhow::bail!("the second node does not run");
     };
-    set(nodes, fleet);
     node.signal(Signal::Terminate)?;
     let status = node.ended(DRAIN_TIME).await?;
     Ok(promise(
@@ -239,10 +231,6 @@
     ))
 }
 
-fn set(nodes: &Nodes, fleet: &Fleet) {
-    *nodes.lock().unwrap_or_else(PoisonError::into_inner) = fleet.callers();
-}
-
 fn judge(records: &[Record], counts: &[Counts]) -> Vec<Promise> {
     let kinds = records.iter().map(|r| r.kind.name);
     let kinds: std::collections::BTreeSet<_> = kinds.collect();
--- a/crates/trials/examples/measure/latency.rs
+++ b/crates/trials/examples/measure/latency.rs
@@ -99,8 +99,8 @@
 async fn time(caller: &Caller, kind: KindShape, node: SocketAddr) -> Result<u64> {
     let key = Caller::key();
     let start = Instant::now();
-    let (end, reason) = caller.send(kind, node, &key, 1, TIMEOUT).await;
-    anyhow::ensure!(end == End::Answered, "{end} by {node}: {reason:?}");
+    let reply = caller.send(kind, node, &key, 1, TIMEOUT).await;
+    anyhow::ensure!(reply.end == End::Answered, "{reply:?} by {node}");
     Ok(u64::try_from(start.elapsed().as_micros())?)
 }
 
--- a/crates/trials/examples/measure/main.rs
+++ b/crates/trials/examples/measure/main.rs
@@ -2,7 +2,6 @@
 
 mod config;
 mod latency;
-mod naive;
 mod scenario;
 mod service;
 
--- a/crates/trials/examples/measure/scenario.rs
+++ b/crates/trials/examples/measure/scenario.rs
@@ -1,6 +1,5 @@
 //! Faults that come while a fleet serves.
 
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use anyhow::Result;
@@ -8,7 +7,6 @@
 use celeryshore_trials::fleet::Changes;
 use celeryshore_trials::fleet::Fleet;
 use celeryshore_trials::fleet::Port;
-use celeryshore_trials::load::Nodes;
 use celeryshore_trials::process::Signal;
 use derive_more::Display;
 use derive_more::FromStr;
@@ -66,15 +64,15 @@
         }
     }
 
-    /// Causes the fault in a fleet under load; `nodes` are those that callers use.
-    pub async fn cause(self, fleet: &mut Fleet, nodes: &Nodes) -> Result<()> {
+    /// Causes the fault in a fleet under load.
+    pub async fn cause(self, fleet: &mut Fleet) -> Result<()> {
         Timer::after(BEFORE).await;
         match self {
             Self::Steady | Self::Overload | Self::Poison => Ok(()),
             Self::ZoneOut => zone_out(fleet).await,
-            Self::ZoneLost => zone_lost(fleet, nodes).await,
-            Self::Killed => killed(fleet, nodes).await,
-            Self::Rolling => rolling(fleet, nodes).await,
+            Self::ZoneLost => zone_lost(fleet).await,
+            Self::Killed => killed(fleet).await,
+            Self::Rolling => rolling(fleet).await,
             Self::Silent => silent(fleet).await,
             Self::Cold => set_targets(fleet, "cold=1").await,
         }
@@ -93,40 +91,35 @@
     Ok(())
 }
 
-async fn zone_lost(fleet: &mut Fleet, nodes: &Nodes) -> Result<()> {
+async fn zone_lost(fleet: &mut Fleet) -> Result<()> {
     for vm in in_zone(fleet, fleet.deployment.zones[0]) {
         fleet.kill_node(vm);
         let target = fleet.vms[vm].address(Port::Target);
         set_targets(fleet, &format!("addr={target}&down={LOST}")).await?;
     }
-    set_nodes(nodes, fleet);
     Ok(())
 }
 
-async fn killed(fleet: &mut Fleet, nodes: &Nodes) -> Result<()> {
+async fn killed(fleet: &mut Fleet) -> Result<()> {
     for vm in (0..fleet.vms.len()).step_by(THIRD) {
         fleet.kill_node(vm);
     }
-    set_nodes(nodes, fleet);
     for vm in (0..fleet.vms.len()).step_by(THIRD) {
         fleet.start_node(vm)?;
     }
     fleet.ready(DRAIN_TIME).await?;
-    set_nodes(nodes, fleet);
     Ok(())
 }
 
-async fn rolling(fleet: &mut Fleet, nodes: &Nodes) -> Result<()> {
+async fn rolling(fleet: &mut Fleet) -> Result<()> {
     for vm in 0..fleet.vms.len() {
-        let Some(mut node) = fleet.nodes[vm].take() else {
+        let Some(mut node) = fleet.take_node(vm) else {
             continue;
         };
-        set_nodes(nodes, fleet);
         node.signal(Signal::Terminate)?;
         node.ended(DRAIN_TIME).await?;
         fleet.start_node(vm)?;
         fleet.ready(DRAIN_TIME).await?;
-        set_nodes(nodes, fleet);
     }
     Ok(())
 }
@@ -154,7 +147,3 @@
     control.post(&format!("/set?{query}")).await?;
     Ok(())
 }
-
-fn set_nodes(nodes: &Nodes, fleet: &Fleet) {
-    *nodes.lock().unwrap_or_else(PoisonError::into_inner) = fleet.callers();
-}
--- a/crates/trials/examples/measure/service.rs
+++ b/crates/trials/examples/measure/service.rs
@@ -1,7 +1,5 @@
 //! Service for each request kind through faults.
 
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -18,13 +16,11 @@
 use celeryshore_trials::fleet::Targets;
 use celeryshore_trials::load;
 use celeryshore_trials::load::Load;
-use celeryshore_trials::load::Nodes;
 use celeryshore_trials::load::Summary;
 use celeryshore_trials::report;
 use celeryshore_trials::report::ServiceRow;
 use getopts::Matches;
 
-use crate::naive;
 use crate::scenario::Scenario;
 
 const SERVICE_TIME: Duration = Duration::from_millis(100);
@@ -72,19 +68,20 @@
         ..Targets::default()
     };
     let mut fleet = Fleet::start(deployment, 0, targets).await?;
-    let nodes: Nodes = Arc::new(Mutex::new(fleet.callers()));
+    let nodes = fleet.callers.clone().route();
     load::run(steady(deployment, Scenario::Steady, WARM_UP), nodes.clone()).await;
     let before = fleet.usage();
 
     let load = steady(deployment, scenario, DURATION);
-    let records = match side {
-        Side::Mesh => spawn(load::run(load, nodes.clone())),
-        Side::Naive => spawn(naive::run(load, fleet.vms.clone())),
+    let route = match side {
+        Side::Mesh => nodes,
+        Side::Naive => load::naive(fleet.vms.clone()),
     };
+    let records = spawn(load::run(load, route));
     if scenario == Scenario::Poison {
         poison(&fleet).await?;
     }
-    scenario.cause(&mut fleet, &nodes).await?;
+    scenario.cause(&mut fleet).await?;
     let records = records.await;
 
     let counts = fleet.counts().await?;
--- a/crates/trials/src/caller.rs
+++ b/crates/trials/src/caller.rs
@@ -18,8 +18,10 @@
 
 const ATTEMPT: &str = "celeryshore-attempt";
 const CRASH: &str = "x-crash";
+const DEADLINE: &str = "celeryshore-deadline-ms";
 const KEY: &str = "idempotency-key";
 const OUTCOME: &str = "celeryshore-outcome";
+const RETRY_AFTER: &str = "retry-after";
 const REASON: &str = "celeryshore-reason";
 const OK: u16 = 200;
 const BACKOFF: Duration = Duration::from_millis(50);
@@ -47,6 +49,17 @@
     Wrong,
 }
 
+/// What a caller got for one send.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// What it got.
+    pub end: End,
+    /// Reason of a refusal.
+    pub reason: Option<String>,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
 /// One request's way from its first send to its end.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -102,16 +115,17 @@
                 break;
             }
             record.sends += 1;
-            let (end, reason) = self
+            let reply = self
                 .send(kind, *node, &record.key, record.sends, left)
                 .await;
-            record.end = end;
-            record.reason = reason;
+            record.end = reply.end;
+            record.reason = reply.reason;
             record.time = started.elapsed();
-            if matches!(end, End::Answered | End::Wrong) {
+            let pause = reply.retry_after.unwrap_or(BACKOFF);
+            if matches!(record.end, End::Answered | End::Wrong) || pause >= left {
                 break;
             }
-            Timer::after(BACKOFF * record.sends).await;
+            Timer::after(pause).await;
         }
         record
     }
@@ -124,23 +138,32 @@
         key: &str,
         attempt: u32,
         timeout: Duration,
-    ) -> (End, Option<String>) {
+    ) -> Reply {
         let pooled = self.with_pool(node, Vec::pop);
         let mut client = pooled.unwrap_or_else(|| Client::new(node, timeout));
         client.set_timeout(timeout);
         let mut req = client.request(kind.method, kind.path);
         req.insert_header(KEY, key);
+        req.insert_header(DEADLINE, timeout.as_millis().to_string());
         req.insert_header(ATTEMPT, attempt.to_string());
         if kind.crashes {
             req.insert_header(CRASH, "1");
         }
         req.set_body(body(kind, key));
         let Ok(answer) = client.send(req).await else {
-            return (End::Cut, None);
+            return Reply {
+                end: End::Cut,
+                reason: None,
+                retry_after: None,
+            };
         };
         self.with_pool(node, |clients| clients.push(client));
-        let reason = answer.header(REASON).map(str::to_owned);
-        (judge(kind, key, &answer), reason)
+        let retry_after = answer.header(RETRY_AFTER).and_then(|v| v.parse().ok());
+        Reply {
+            end: judge(kind, key, &answer),
+            reason: answer.header(REASON).map(str::to_owned),
+            retry_after: retry_after.map(Duration::from_secs),
+        }
     }
 
     fn with_pool<T>(&self, node: SocketAddr, change: impl FnOnce(&mut Vec<Client>) -> T) -> T {
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::error::Awaited;
 use crate::error::Error;
 use crate::error::Result;
+use crate::load::Nodes;
 use crate::process::Process;
 use crate::process::Program;
 use crate::process::Usage;
@@ -70,6 +71,8 @@
     pub vms: Vec<Vm>,
     /// Its nodes, by the order of the VMs; `None` while one is down.
     pub nodes: Vec<Option<Process>>,
+    /// Callers' addresses of the nodes that are ready.
+    pub callers: Nodes,
     /// What the rules hold now.
     pub changes: Changes,
     stand_ins: Vec<Process>,
@@ -111,6 +114,7 @@
             deployment,
             nodes: vms.iter().map(|_| None).collect(),
             vms,
+            callers: Nodes::default(),
             changes: Changes::default(),
             stand_ins: Vec::new(),
             number,
@@ -194,6 +198,14 @@
     /// Kills the node of a VM without warning.
     pub fn kill_node(&mut self, vm: usize) {
         self.nodes[vm] = None;
+        self.callers.set(self.callers());
+    }
+
+    /// Takes the node of a VM, so that callers use it no more.
+    pub fn take_node(&mut self, vm: usize) -> Option<Process> {
+        let node = self.nodes[vm].take();
+        self.callers.set(self.callers());
+        node
     }
 
     /// Kills all nodes.
@@ -248,6 +260,7 @@
                 wait(end, Awaited::Ready).await?;
             }
         }
+        self.callers.set(self.callers());
         Ok(())
     }
 
--- a/crates/trials/src/load.rs
+++ b/crates/trials/src/load.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,13 +20,18 @@
 use crate::caller::Record;
 use crate::deployment::DEADLINE;
 use crate::deployment::KindShape;
+use crate::vm::Port;
+use crate::vm::Vm;
 
 const SENDS: u32 = 3;
 const LATE_ALLOWANCE: Duration = Duration::from_millis(200);
 const HIGHEST_MICROS: u64 = 60_000_000;
 const DIGITS: u8 = 3;
 
-/// A steady rate of arrivals, shared alike by kinds and nodes.
+/// Addresses to which a caller sends a request in turn.
+pub type Route = Arc<dyn Fn(KindShape) -> Vec<SocketAddr> + Send + Sync>;
+
+/// A steady rate of arrivals, shared alike by kinds.
 #[derive(Clone, Debug)]
 pub struct Load {
     /// Request kinds.
@@ -35,11 +42,8 @@
     pub duration: Duration,
 }
 
-/// Callers' addresses of the nodes that run; they may change under load.
-pub type Nodes = Arc<Mutex<Vec<SocketAddr>>>;
-
 /// Runs a load and returns what became of each request.
-pub async fn run(load: Load, nodes: Nodes) -> Vec<Record> {
+pub async fn run(load: Load, route: Route) -> Vec<Record> {
     let caller = Arc::new(Caller::default());
     let start = Instant::now();
     let mut calls = Vec::new();
@@ -49,7 +53,7 @@
             break;
         }
         Timer::at(start + at).await;
-        calls.push(spawn(call(caller.clone(), *kind, nodes.clone())));
+        calls.push(spawn(call(caller.clone(), *kind, route(*kind))));
     }
     let mut records = Vec::new();
     for call in calls {
@@ -58,12 +62,47 @@
     records
 }
 
-async fn call(caller: Arc<Caller>, kind: KindShape, nodes: Nodes) -> Record {
-    let mut nodes = nodes.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    fastrand::shuffle(&mut nodes);
-    caller
-        .call(kind, &nodes, SENDS, DEADLINE + LATE_ALLOWANCE)
-        .await
+async fn call(caller: Arc<Caller>, kind: KindShape, nodes: Vec<SocketAddr>) -> Record {
+    let patience = DEADLINE + LATE_ALLOWANCE;
+    caller.call(kind, &nodes, SENDS, patience).await
+}
+
+/// Callers' addresses of the nodes that run; they change under load.
+#[derive(Clone, Debug, Default)]
+pub struct Nodes(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl Nodes {
+    /// Sets the addresses.
+    pub fn set(&self, nodes: Vec<SocketAddr>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = nodes;
+    }
+
+    /// Returns the route of a caller that tries the nodes at random.
+    #[must_use]
+    pub fn route(self) -> Route {
+        Arc::new(move |_| {
+            let mut nodes = self
+                .0
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone();
+            fastrand::shuffle(&mut nodes);
+            nodes
+        })
+    }
+}
+
+/// Returns the route of a naive client: round robin over the service's targets.
+#[must_use]
+pub fn naive(vms: Vec<Vm>) -> Route {
+    let next = AtomicUsize::new(0);
+    Arc::new(move |kind| {
+        let own = vms.iter().filter(|vm| vm.service == kind.service);
+        let mut targets: Vec<_> = own.map(|vm| vm.address(Port::Target)).collect();
+        let first = next.fetch_add(1, Ordering::Relaxed) % targets.len().max(1);
+        targets.rotate_left(first);
+        targets
+    })
 }
 
 /// What became of the requests of one kind.
