--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Sets how long to wait for a whole answer.
+    pub fn set_timeout(&mut self, timeout: Duration) {
+        self.timeout = timeout;
+    }
+
     /// Makes a request to this client's address.
     ///
     /// # Panics
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -88,6 +88,27 @@
     pub peak_second: usize,
 }
 
+impl Calls {
+    /// Returns the number of all calls.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_standins::platform::Calls;
+    ///
+    /// let calls = Calls {
+    ///     reads: 1,
+    ///     watches: 2,
+    ///     ..Calls::default()
+    /// };
+    /// assert_eq!(calls.total(), 3);
+    /// ```
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.reads + self.watches + self.catalog
+    }
+}
+
 /// State of the platform.
 #[derive(Debug)]
 pub struct Store {
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -54,7 +54,7 @@
     /// Makes a target that starts cold.
     #[must_use]
     pub fn new(addr: SocketAddr, settings: Arc<Settings>) -> Self {
-        let state = State::new(addr.port(), settings.clone());
+        let state = State::new(addr, settings.clone());
         Self {
             addr,
             settings,
@@ -169,7 +169,7 @@
         let answer = json!({
             "key": key(req),
             "path": req.url().path(),
-            "target": self.target.addr.port(),
+            "target": self.target.addr,
             "body": String::from_utf8_lossy(body),
         });
         if self.target.state().take_crossed() {
--- /dev/null
+++ b/crates/standins/src/target/state.rs
@@ -0,0 +1,265 @@
+//! State and counts of a target.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Settings;
+
+const PERCENT: u32 = 100;
+const JITTER_PERCENT: u32 = 50;
+
+/// What a target does with a new request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It runs.
+    Runs,
+    /// It is refused, and did not run.
+    Shed,
+    /// It fails, because the target fell over.
+    Failed,
+}
+
+/// What a target has seen.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Address of the target.
+    pub addr: Option<SocketAddr>,
+    /// Number of runs by idempotency key.
+    pub runs: HashMap<String, u32>,
+    /// Requests that run now.
+    pub running: usize,
+    /// Requests that began to run.
+    pub started: u64,
+    /// Requests that ran to their end.
+    pub finished: u64,
+    /// Requests that were cancelled or passed their deadline.
+    pub cut: u64,
+    /// Requests that were shed.
+    pub shed: u64,
+    /// Most requests that ran at one time.
+    pub peak: usize,
+    /// Most requests that ran at one time in a cold start.
+    pub peak_cold: usize,
+    /// How often it fell over.
+    pub fallen: u64,
+    /// How often it crashed.
+    pub crashes: u64,
+}
+
+/// Load as the target reports it.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Load {
+    running: usize,
+    slots: usize,
+}
+
+/// State of a target.
+#[derive(Debug)]
+pub struct State {
+    settings: Arc<Settings>,
+    counts: Counts,
+    generation: u64,
+    cold_since: Instant,
+    cold_answers: u64,
+    fallen_until: Instant,
+    down_until: Instant,
+    draining_until: Instant,
+    late: Duration,
+    crossed: u64,
+    claim: Option<String>,
+    phases: VecDeque<(Instant, &'static str)>,
+}
+
+impl State {
+    /// Makes the state of a cold target.
+    pub fn new(addr: SocketAddr, settings: Arc<Settings>) -> Self {
+        let now = Instant::now();
+        Self {
+            settings,
+            counts: Counts {
+                addr: Some(addr),
+                ..Counts::default()
+            },
+            generation: 0,
+            cold_since: now,
+            cold_answers: 0,
+            fallen_until: now,
+            down_until: now,
+            draining_until: now,
+            late: Duration::ZERO,
+            crossed: 0,
+            claim: None,
+            phases: VecDeque::new(),
+        }
+    }
+
+    /// Decides about a new request and counts it.
+    pub fn begin(&mut self, key: Option<&str>) -> Admission {
+        let now = Instant::now();
+        if self.fallen_until > now {
+            return Admission::Failed;
+        }
+        let running = self.counts.running + 1;
+        if self.draining_until > now || running > self.settings.slots {
+            self.counts.shed += 1;
+            return Admission::Shed;
+        }
+        if self.is_cold() {
+            self.counts.peak_cold = self.counts.peak_cold.max(running);
+            if running > self.settings.cold_slots {
+                self.fall();
+                return Admission::Failed;
+            }
+        }
+        self.counts.running = running;
+        self.counts.started += 1;
+        self.counts.peak = self.counts.peak.max(running);
+        if let Some(key) = key {
+            *self.counts.runs.entry(key.to_owned()).or_default() += 1;
+        }
+        Admission::Runs
+    }
+
+    /// Ends a request that ran.
+    pub fn end(&mut self, finished: bool) {
+        self.counts.running = self.counts.running.saturating_sub(1);
+        if finished {
+            self.counts.finished += 1;
+            self.cold_answers += 1;
+        } else {
+            self.counts.cut += 1;
+        }
+    }
+
+    /// Closes everything and stays down for the crash time.
+    pub fn crash(&mut self) {
+        self.counts.crashes += 1;
+        self.counts.running = self.counts.running.saturating_sub(1);
+        self.stop(self.settings.crash_time);
+    }
+
+    /// Closes everything and stays down for a time.
+    pub fn stop(&mut self, time: Duration) {
+        self.down_until = Instant::now() + time;
+        self.cold_since = self.down_until;
+        self.cold_answers = 0;
+    }
+
+    /// Begins a cold start.
+    pub fn cool(&mut self) {
+        self.cold_since = Instant::now();
+        self.cold_answers = 0;
+    }
+
+    /// Sheds all new work for a time.
+    pub fn drain(&mut self, time: Duration) {
+        self.draining_until = Instant::now() + time;
+    }
+
+    /// Silences the connections that are open now.
+    pub fn silence(&mut self) {
+        self.generation += 1;
+    }
+
+    /// Delays each answer.
+    pub fn delay(&mut self, time: Duration) {
+        self.late = time;
+    }
+
+    /// Sends the next answers twice.
+    pub fn cross(&mut self, answers: u64) {
+        self.crossed = answers;
+    }
+
+    /// Claims a phase at the health endpoint, true or not.
+    pub fn claim(&mut self, phase: Option<String>) {
+        self.claim = phase;
+    }
+
+    /// Tells whether nothing is listened to.
+    pub fn is_down(&self) -> bool {
+        self.down_until > Instant::now()
+    }
+
+    /// Returns how often open connections were silenced.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Tells whether the next answer is to be sent twice.
+    pub fn take_crossed(&mut self) -> bool {
+        let crossed = self.crossed > 0;
+        self.crossed = self.crossed.saturating_sub(1);
+        crossed
+    }
+
+    /// Returns the time that a request to a path takes.
+    pub fn service_time(&self, path: &str) -> Duration {
+        let paths = &self.settings.paths;
+        let own = paths.iter().find(|(prefix, _)| path.starts_with(prefix));
+        let mean = own.map_or(self.settings.service_time, |(_, time)| *time);
+        let least = PERCENT - JITTER_PERCENT;
+        let percent = least + fastrand::u32(..2 * JITTER_PERCENT);
+        mean * percent / PERCENT + self.late
+    }
+
+    /// Returns the counts so far.
+    pub fn counts(&self) -> Counts {
+        self.counts.clone()
+    }
+
+    /// Returns the load.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.counts.running,
+            slots: self.settings.slots,
+        }
+    }
+
+    /// Returns the phase that the health endpoint claims, which lags.
+    pub fn claimed(&mut self) -> &'static str {
+        match self.claim.as_deref() {
+            Some("warm") => return "warm",
+            Some("cold") => return "cold",
+            Some("draining") => return "draining",
+            _ => (),
+        }
+        let now = Instant::now();
+        self.phases.push_back((now, self.phase()));
+        let lag = self.settings.health_lag;
+        let old = |(at, _): &(Instant, &str)| now - *at >= lag;
+        while self.phases.get(1).is_some_and(old) {
+            self.phases.pop_front();
+        }
+        self.phases.front().map_or("cold", |(_, phase)| phase)
+    }
+
+    fn phase(&self) -> &'static str {
+        if self.draining_until > Instant::now() {
+            return "draining";
+        }
+        if self.is_cold() {
+            return "cold";
+        }
+        "warm"
+    }
+
+    fn is_cold(&self) -> bool {
+        let time = self.cold_since.elapsed();
+        time < self.settings.cold_time && self.cold_answers < self.settings.cold_answers
+    }
+
+    fn fall(&mut self) {
+        self.counts.fallen += 1;
+        self.fallen_until = Instant::now() + self.settings.fall_time;
+        self.cold_since = self.fallen_until;
+        self.cold_answers = 0;
+    }
+}
--- /dev/null
+++ b/crates/trials/examples/demo.rs
@@ -0,0 +1,288 @@
+//! Demonstration: both deployments as processes on loopback, and their promises.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Result;
+use async_io::Timer;
+use celeryshore_standins::executor;
+use celeryshore_standins::executor::spawn;
+use celeryshore_standins::target::Counts;
+use celeryshore_trials::caller::Caller;
+use celeryshore_trials::caller::End;
+use celeryshore_trials::caller::Record;
+use celeryshore_trials::deployment::ASSOCIATION;
+use celeryshore_trials::deployment::DEADLINE;
+use celeryshore_trials::deployment::Deployment;
+use celeryshore_trials::deployment::HRONEC;
+use celeryshore_trials::fleet::Changes;
+use celeryshore_trials::fleet::Fleet;
+use celeryshore_trials::fleet::Targets;
+use celeryshore_trials::load;
+use celeryshore_trials::load::Load;
+use celeryshore_trials::load::Nodes;
+use celeryshore_trials::load::Summary;
+use celeryshore_trials::process::Signal;
+use celeryshore_trials::report;
+use celeryshore_trials::report::Held;
+use celeryshore_trials::report::Millis;
+use celeryshore_trials::report::Promise;
+use futures_lite::FutureExt;
+
+const THREADS: usize = 3;
+const TIMEOUT: Duration = Duration::from_mins(1);
+const LOAD_PAUSE: Duration = Duration::from_millis(16);
+const LOAD_TIME: Duration = Duration::from_secs(18);
+const CONVERGENCE: Duration = Duration::from_secs(5);
+const ZONE_OUT_DELAY: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_secs(2);
+const DRAIN_TIME: Duration = Duration::from_secs(10);
+const COLD_SLOTS: usize = 1;
+const SENDS: u32 = 3;
+
+fn main() -> ExitCode {
+    let held = executor::run(THREADS, demo().or(give_up()));
+    match held {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("demo: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn give_up() -> Result<bool> {
+    Timer::after(TIMEOUT).await;
+    anyhow::bail!("not finished within {TIMEOUT:?}")
+}
+
+async fn demo() -> Result<bool> {
+    let association = spawn(exercise(ASSOCIATION, 0));
+    let hronec = spawn(exercise(HRONEC, 1));
+    let all = [
+        ("Association", association.await?),
+        ("Hronec", hronec.await?),
+    ];
+    let mut held = true;
+    for (name, promises) in all {
+        held &= promises.iter().all(|p| p.held == Held::Yes);
+        report::print(name, promises);
+    }
+    Ok(held)
+}
+
+async fn exercise(deployment: Deployment, number: u16) -> Result<Vec<Promise>> {
+    let started = Instant::now();
+    let mut fleet = Fleet::start(deployment, number, Targets::default()).await?;
+    let mut promises = vec![ready(&fleet, started)];
+    promises.push(each_kind(&fleet).await);
+    promises.push(resend(&fleet).await?);
+    promises.push(rule_change(&mut fleet).await?);
+    promises.extend(under_load(&mut fleet).await?);
+    Ok(promises)
+}
+
+fn promise(promise: &'static str, seen: String, held: bool) -> Promise {
+    Promise {
+        promise,
+        seen,
+        held: held.into(),
+    }
+}
+
+fn ready(fleet: &Fleet, started: Instant) -> Promise {
+    let (nodes, time) = (fleet.running().count(), Millis(started.elapsed()));
+    promise(
+        "all nodes take work",
+        format!("{nodes} nodes in {time}"),
+        true,
+    )
+}
+
+async fn each_kind(fleet: &Fleet) -> Promise {
+    let (caller, nodes) = (Caller::default(), fleet.callers());
+    let (mut sent, mut answered) = (0, 0);
+    for kind in fleet.deployment.kinds() {
+        for node in nodes.iter().step_by(4) {
+            let record = caller.call(kind, &[*node], SENDS, DEADLINE).await;
+            sent += 1;
+            answered += u32::from(record.end == End::Answered);
+        }
+    }
+    let seen = format!("{answered} of {sent} answered");
+    promise(
+        "each kind gets its own whole answer",
+        seen,
+        answered == sent,
+    )
+}
+
+async fn resend(fleet: &Fleet) -> Result<Promise> {
+    let (caller, nodes) = (Caller::default(), fleet.callers());
+    let mut ends = Vec::new();
+    let mut keys = Vec::new();
+    for kind in fleet.deployment.kinds().filter(|k| !k.idempotent) {
+        let key = Caller::key();
+        for (attempt, node) in (1..=SENDS).zip(nodes.iter().step_by(3)) {
+            let (end, _) = caller.send(kind, *node, &key, attempt, DEADLINE).await;
+            ends.push(end);
+        }
+        keys.push(key);
+    }
+    let counts = fleet.counts().await?;
+    let runs = |key| counts.iter().filter_map(|c| c.runs.get(key)).sum::<u32>();
+    let most = keys.iter().map(runs).max().unwrap_or_default();
+    let answered = ends.iter().filter(|end| **end == End::Answered).count();
+    let seen = format!(
+        "{answered} of {} sends answered, runs of one key: {most}",
+        ends.len()
+    );
+    Ok(promise("a key sent again runs once", seen, most == 1))
+}
+
+async fn rule_change(fleet: &mut Fleet) -> Result<Promise> {
+    let index = fleet.publish(fleet.changes.clone()).await?;
+    let times = fleet.converged(index, CONVERGENCE).await?;
+    let median = Millis(times[times.len() / 2]);
+    let last = Millis(times[times.len() - 1]);
+    let seen = format!("median {median}, last {last}");
+    Ok(promise(
+        "a change is in force everywhere within 5 s",
+        seen,
+        true,
+    ))
+}
+
+async fn under_load(fleet: &mut Fleet) -> Result<Vec<Promise>> {
+    let nodes: Nodes = Arc::new(Mutex::new(fleet.callers()));
+    let load = Load {
+        kinds: fleet.deployment.kinds().collect(),
+        pause: LOAD_PAUSE,
+        duration: LOAD_TIME,
+    };
+    let load = spawn(load::run(load, nodes.clone()));
+    let mut promises = zone_out_and_back(fleet).await?;
+    promises.push(kill(fleet, &nodes).await?);
+    promises.push(terminate(fleet, &nodes).await?);
+    let records = load.await;
+    promises.extend(judge(&records, &fleet.counts().await?));
+    Ok(promises)
+}
+
+async fn zone_out_and_back(fleet: &mut Fleet) -> Result<Vec<Promise>> {
+    let zone = fleet.deployment.zones[0].to_owned();
+    let out = Changes {
+        zones_out: vec![zone.clone()],
+        ..fleet.changes.clone()
+    };
+    let index = fleet.publish(out).await?;
+    fleet.converged(index, CONVERGENCE).await?;
+    Timer::after(ZONE_OUT_DELAY).await;
+    let before = work(fleet, &zone).await?;
+    Timer::after(PAUSE).await;
+    let new = work(fleet, &zone).await? - before;
+    let gone = promise(
+        "a zone out gets no new work after 3 s",
+        format!("{new} new runs"),
+        new == 0,
+    );
+
+    let index = fleet.publish(Changes::default()).await?;
+    fleet.converged(index, CONVERGENCE).await?;
+    Timer::after(PAUSE).await;
+    let new = work(fleet, &zone).await? - before;
+    let back = promise(
+        "a zone back gets work again",
+        format!("{new} new runs"),
+        new > 0,
+    );
+    Ok(vec![gone, back])
+}
+
+async fn work(fleet: &Fleet, zone: &str) -> Result<u64> {
+    let counts = fleet.counts().await?;
+    let own = counts
+        .iter()
+        .zip(&fleet.vms)
+        .filter(|(_, vm)| vm.zone == zone);
+    Ok(own.map(|(counts, _)| counts.started).sum())
+}
+
+async fn kill(fleet: &mut Fleet, nodes: &Nodes) -> Result<Promise> {
+    fleet.kill_node(0);
+    set(nodes, fleet);
+    Timer::after(PAUSE).await;
+    fleet.start_node(0)?;
+    let started = Instant::now();
+    fleet.ready(CONVERGENCE).await?;
+    set(nodes, fleet);
+    let seen = format!("ready {} after its restart", Millis(started.elapsed()));
+    Ok(promise("a killed node comes back", seen, true))
+}
+
+async fn terminate(fleet: &mut Fleet, nodes: &Nodes) -> Result<Promise> {
+    let Some(mut node) = fleet.nodes[1].take() else {
+        anyhow::bail!("the second node does not run");
+    };
+    set(nodes, fleet);
+    node.signal(Signal::Terminate)?;
+    let status = node.ended(DRAIN_TIME).await?;
+    Ok(promise(
+        "a node that is to leave drains and exits",
+        status.to_string(),
+        status.success(),
+    ))
+}
+
+fn set(nodes: &Nodes, fleet: &Fleet) {
+    *nodes.lock().unwrap_or_else(PoisonError::into_inner) = fleet.callers();
+}
+
+fn judge(records: &[Record], counts: &[Counts]) -> Vec<Promise> {
+    let kinds = records.iter().map(|r| r.kind.name);
+    let kinds: std::collections::BTreeSet<_> = kinds.collect();
+    let all: Vec<_> = kinds
+        .iter()
+        .map(|k| Summary::of(k, records, counts))
+        .collect();
+    let total = |value: &dyn Fn(&Summary) -> u64| all.iter().map(value).sum::<u64>();
+    let answered = total(&|s| s.count(End::Answered));
+    let refused = total(&|s| s.count(End::NotRun));
+    let unknown = total(&|s| s.count(End::Unknown));
+    let broken = total(&|s| s.count(End::Cut) + s.count(End::Failed));
+    let wrong = total(&|s| s.count(End::Wrong));
+    let untrue = total(&|s| s.untrue);
+    let doubled = total(&|s| s.doubled);
+    let cold = counts.iter().map(|c| c.peak_cold).max().unwrap_or_default();
+    let sent = records.len();
+    vec![
+        promise(
+            "every caller gets a final answer",
+            format!(
+                "{sent} sent: {answered} answered, {refused} not run, {unknown} unknown, {broken} broken"
+            ),
+            broken == 0,
+        ),
+        promise(
+            "no answer to another request",
+            format!("{wrong} wrong"),
+            wrong == 0,
+        ),
+        promise(
+            "a refusal as not run is true",
+            format!("{untrue} untrue"),
+            untrue == 0,
+        ),
+        promise("at most once", format!("{doubled} doubled"), doubled == 0),
+        promise(
+            "a cold target gets no more than it can bear",
+            format!("peak {cold} of {COLD_SLOTS}"),
+            cold <= COLD_SLOTS,
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/trials/src/fleet.rs
@@ -0,0 +1,338 @@
+//! A deployment's nodes and stand-ins as processes.
+
+use std::env;
+use std::ffi::OsString;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use celeryshore_model::Index;
+use celeryshore_model::Version;
+use celeryshore_standins::client::Client;
+use celeryshore_standins::executor::spawn;
+use celeryshore_standins::loopback;
+use celeryshore_standins::platform::Calls;
+use celeryshore_standins::target::Counts;
+use http_types::Method;
+use serde_json::Value;
+
+use crate::deployment::Deployment;
+use crate::error::Awaited;
+use crate::error::Error;
+use crate::error::Result;
+use crate::process::Process;
+use crate::process::Program;
+use crate::process::Usage;
+use crate::rules;
+pub use crate::rules::Changes;
+use crate::settings;
+use crate::vm;
+pub use crate::vm::Port;
+pub use crate::vm::Vm;
+
+/// Key of the rules at the platform.
+pub const KEY: &str = "celeryshore/rules";
+
+const OK: u16 = 200;
+const POLL: Duration = Duration::from_millis(20);
+const TIMEOUT: Duration = Duration::from_secs(2);
+const START_TIME: Duration = Duration::from_secs(20);
+const STAND_IN_VM: u16 = 240;
+
+/// What the targets of a fleet can bear.
+#[derive(Clone, Copy, Debug)]
+pub struct Targets {
+    /// Length of a cold start.
+    pub cold_time: Duration,
+    /// Mean time of a request.
+    pub service_time: Duration,
+}
+
+impl Default for Targets {
+    fn default() -> Self {
+        Self {
+            cold_time: Duration::from_secs(3),
+            service_time: Duration::from_millis(5),
+        }
+    }
+}
+
+/// The processes of one deployment.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Shape of the deployment.
+    pub deployment: Deployment,
+    /// Its VMs.
+    pub vms: Vec<Vm>,
+    /// Its nodes, by the order of the VMs; `None` while one is down.
+    pub nodes: Vec<Option<Process>>,
+    /// What the rules hold now.
+    pub changes: Changes,
+    stand_ins: Vec<Process>,
+    number: u16,
+    dir: PathBuf,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and the nodes, and waits until all are ready.
+    ///
+    /// `number` tells apart the fleets of one process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process doesn't start or a node isn't ready in time.
+    pub async fn start(deployment: Deployment, number: u16, targets: Targets) -> Result<Self> {
+        let vms = vm::all(&deployment, number);
+        let mut fleet = Self::with_vms(deployment, number, vms)?;
+        fleet.start_platform().await?;
+        fleet.start_targets(targets).await?;
+        fleet.publish(Changes::default()).await?;
+        for vm in 0..fleet.vms.len() {
+            fleet.start_node(vm)?;
+        }
+        fleet.ready(START_TIME).await?;
+        Ok(fleet)
+    }
+
+    /// Makes a fleet whose processes are not started.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its directory can't be made.
+    pub fn with_vms(deployment: Deployment, number: u16, vms: Vec<Vm>) -> Result<Self> {
+        let name = format!("celeryshore-{}-{number}", process::id());
+        let dir = env::temp_dir().join(name);
+        fs::create_dir_all(&dir)?;
+        Ok(Self {
+            deployment,
+            nodes: vms.iter().map(|_| None).collect(),
+            vms,
+            changes: Changes::default(),
+            stand_ins: Vec::new(),
+            number,
+            dir,
+        })
+    }
+
+    /// Starts the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it doesn't start.
+    pub async fn start_platform(&mut self) -> Result<()> {
+        let listen = self.stand_in(Port::Platform);
+        let args = [
+            "platform".to_owned(),
+            format!("--listen={listen}"),
+            "--lag=1s".to_owned(),
+        ];
+        self.start_stand_in(Port::PlatformControl, &args).await?;
+        let list: Vec<Value> = self.vms.iter().map(Vm::listed).collect();
+        let list = serde_json::to_vec(&list).map_err(celeryshore_standins::Error::from)?;
+        self.control(Port::PlatformControl)
+            .put("/vms", &list)
+            .await?;
+        Ok(())
+    }
+
+    async fn start_targets(&mut self, targets: Targets) -> Result<()> {
+        let mut args = vec![
+            "targets".to_owned(),
+            format!("--slots={}", self.deployment.slots),
+            format!("--connections={}", self.deployment.connections),
+            format!(
+                "--cold-time={}",
+                humantime::format_duration(targets.cold_time)
+            ),
+            format!(
+                "--service-time={}",
+                humantime::format_duration(targets.service_time)
+            ),
+        ];
+        let listen = |vm: &Vm| format!("--listen={}", vm.address(Port::Target));
+        args.extend(self.vms.iter().map(listen));
+        self.start_stand_in(Port::TargetControl, &args).await
+    }
+
+    async fn start_stand_in(&mut self, control: Port, args: &[String]) -> Result<()> {
+        let control = self.stand_in(control);
+        let mut args: Vec<OsString> = args.iter().map(OsString::from).collect();
+        args.push(format!("--control={control}").into());
+        let log = self.dir.join("stand-ins.log");
+        self.stand_ins
+            .push(Process::start(Program::StandIn, &args, &log)?);
+        let end = Instant::now() + START_TIME;
+        while async_io::Async::<std::net::TcpStream>::connect(control)
+            .await
+            .is_err()
+        {
+            wait(end, Awaited::StandIn).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts the node of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it doesn't start.
+    pub fn start_node(&mut self, vm: usize) -> Result<()> {
+        let text = settings::text(&self.vms[vm], &self.vms, self.stand_in(Port::Platform));
+        let name = &self.vms[vm].name;
+        let path = self.dir.join(format!("{name}.yaml"));
+        fs::write(&path, text)?;
+        let log = self.dir.join(format!("{name}.log"));
+        let args = ["--settings".into(), path.into()];
+        self.nodes[vm] = Some(Process::start(Program::Node, &args, &log)?);
+        Ok(())
+    }
+
+    /// Kills the node of a VM without warning.
+    pub fn kill_node(&mut self, vm: usize) {
+        self.nodes[vm] = None;
+    }
+
+    /// Kills all nodes.
+    pub fn stop_nodes(&mut self) {
+        self.nodes.fill_with(|| None);
+    }
+
+    /// Publishes rules and returns their index.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform doesn't take them.
+    pub async fn publish(&mut self, mut changes: Changes) -> Result<Index> {
+        changes.revision = self.changes.revision + 1;
+        let text = rules::text(&self.deployment, &self.vms, &changes);
+        let mut platform = self.control(Port::PlatformControl);
+        let path = format!("/publish/{KEY}");
+        let answer = platform.put(&path, text.as_bytes()).await?;
+        self.changes = changes;
+        let index = serde_json::from_slice(&answer.body);
+        Ok(Index(index.map_err(celeryshore_standins::Error::from)?))
+    }
+
+    /// Waits until a version is in force at all running nodes, and returns the
+    /// time that each took since the call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one doesn't get there in time.
+    pub async fn converged(&self, index: Index, timeout: Duration) -> Result<Vec<Duration>> {
+        let start = Instant::now();
+        let watch = |vm: &Vm| spawn(in_force(vm.address(Port::Operators), index, timeout));
+        let watches: Vec<_> = self.running().map(watch).collect();
+        let mut times = Vec::new();
+        for watch in watches {
+            times.push(watch.await?.duration_since(start));
+        }
+        times.sort_unstable();
+        Ok(times)
+    }
+
+    /// Waits until all running nodes take callers' work.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one doesn't in time.
+    pub async fn ready(&self, timeout: Duration) -> Result<()> {
+        let end = Instant::now() + timeout;
+        for vm in self.running() {
+            let mut client = Client::new(vm.address(Port::Operators), TIMEOUT);
+            while !is_ready(&mut client).await {
+                wait(end, Awaited::Ready).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the VMs whose nodes run.
+    pub fn running(&self) -> impl Iterator<Item = &Vm> {
+        let nodes = self.nodes.iter().zip(&self.vms);
+        nodes.filter_map(|(node, vm)| node.is_some().then_some(vm))
+    }
+
+    /// Returns the callers' addresses of the nodes that run.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.running().map(|vm| vm.address(Port::Callers)).collect()
+    }
+
+    /// Returns what the targets have seen, by the order of the VMs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they don't say.
+    pub async fn counts(&self) -> Result<Vec<Counts>> {
+        Ok(self.control(Port::TargetControl).get("/runs").await?)
+    }
+
+    /// Returns what all running nodes have used so far.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        self.nodes.iter().flatten().map(Process::usage).sum()
+    }
+
+    /// Returns the counts of calls on the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it doesn't say.
+    pub async fn calls(&self) -> Result<Calls> {
+        Ok(self.control(Port::PlatformControl).get("/calls").await?)
+    }
+
+    /// Returns a client of a stand-in's control port.
+    #[must_use]
+    pub fn control(&self, port: Port) -> Client {
+        Client::new(self.stand_in(port), TIMEOUT)
+    }
+
+    /// Returns the address of a stand-in.
+    #[must_use]
+    pub fn stand_in(&self, port: Port) -> SocketAddr {
+        loopback(STAND_IN_VM + self.number, port as u16)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if env::var_os("CELERYSHORE_KEEP_LOGS").is_none() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+async fn is_ready(client: &mut Client) -> bool {
+    let req = client.request(Method::Get, "/ready");
+    client
+        .send(req)
+        .await
+        .is_ok_and(|answer| answer.status == OK)
+}
+
+async fn in_force(node: SocketAddr, index: Index, timeout: Duration) -> Result<Instant> {
+    let end = Instant::now() + timeout;
+    let mut client = Client::new(node, TIMEOUT);
+    loop {
+        let status: Value = client.get("/status").await.unwrap_or_default();
+        let version = status["version"].as_str().unwrap_or_default();
+        if version.parse().is_ok_and(|v: Version| v.index >= index) {
+            return Ok(Instant::now());
+        }
+        wait(end, Awaited::Converged).await?;
+    }
+}
+
+async fn wait(end: Instant, awaited: Awaited) -> Result<()> {
+    if Instant::now() >= end {
+        return Err(Error::NotInTime(awaited));
+    }
+    Timer::after(POLL).await;
+    Ok(())
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Trials of celeryshore with real processes, and what they are made of.
+//!
+//! A trial starts a [`fleet`] of nodes with the stand-ins of one
+//! [`deployment`], sends requests as a [`caller`] or under [`load`], causes
+//! faults, and reports what it saw. Nothing here is shipped.
+
+pub mod caller;
+pub mod deployment;
+pub mod error;
+pub mod fleet;
+pub mod load;
+pub mod process;
+pub mod report;
+mod rules;
+mod settings;
+mod vm;
--- /dev/null
+++ b/crates/trials/src/process.rs
@@ -0,0 +1,167 @@
+//! Processes that a trial starts and stops.
+
+use std::env;
+use std::ffi::OsString;
+use std::fs;
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use derive_more::Add;
+use derive_more::Display;
+use derive_more::Sum;
+
+use crate::error::Awaited;
+use crate::error::Error;
+use crate::error::Result;
+
+const POLL: Duration = Duration::from_millis(10);
+const TICKS_PER_SECOND: f64 = 100.0;
+const KIB: u64 = 1_024;
+const FIELDS_BEFORE_USER_TIME: usize = 11;
+
+/// A program of the workspace.
+#[derive(Clone, Copy, Debug, Display)]
+pub enum Program {
+    /// The node.
+    #[display("celeryshore")]
+    Node,
+    /// Stand-ins.
+    #[display("examples/standin")]
+    StandIn,
+}
+
+/// A signal to a process.
+#[derive(Clone, Copy, Debug, Display)]
+pub enum Signal {
+    /// Finish and exit.
+    #[display("-TERM")]
+    Terminate,
+    /// Freeze.
+    #[display("-STOP")]
+    Stop,
+    /// Go on after a freeze.
+    #[display("-CONT")]
+    Continue,
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, Add, Sum)]
+pub struct Usage {
+    /// Resident memory in bytes.
+    pub memory: u64,
+    /// Processor time.
+    pub processor: Duration,
+}
+
+/// A running process, killed when dropped.
+#[derive(Debug)]
+pub struct Process(Child);
+
+impl Process {
+    /// Starts a program; its output goes to a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program is not built or doesn't start.
+    pub fn start(program: Program, args: &[OsString], log: &Path) -> Result<Self> {
+        let log = File::options().append(true).create(true).open(log)?;
+        let child = Command::new(path(program)?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self(child))
+    }
+
+    /// Kills the process without warning.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be signalled.
+    pub fn kill(&mut self) -> Result<()> {
+        self.0.kill()?;
+        self.0.wait()?;
+        Ok(())
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be signalled.
+    pub fn signal(&self, signal: Signal) -> Result<()> {
+        let pid = self.0.id().to_string();
+        Command::new("kill")
+            .args([signal.to_string(), pid])
+            .status()?;
+        Ok(())
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it doesn't end in time.
+    pub async fn ended(&mut self, timeout: Duration) -> Result<ExitStatus> {
+        let end = Instant::now() + timeout;
+        while Instant::now() < end {
+            if let Some(status) = self.0.try_wait()? {
+                return Ok(status);
+            }
+            Timer::after(POLL).await;
+        }
+        Err(Error::NotInTime(Awaited::Ended))
+    }
+
+    /// Returns what the process has used so far.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        let dir = PathBuf::from("/proc").join(self.0.id().to_string());
+        let status = fs::read_to_string(dir.join("status")).unwrap_or_default();
+        let stat = fs::read_to_string(dir.join("stat")).unwrap_or_default();
+        Usage {
+            memory: memory(&status).unwrap_or_default(),
+            processor: processor(&stat).unwrap_or_default(),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
+
+// Programs lie one directory above examples and tests.
+fn path(program: Program) -> Result<PathBuf> {
+    let own = env::current_exe()?;
+    let dir = own.ancestors().nth(2).unwrap_or(&own);
+    let path = dir.join(program.to_string());
+    if path.exists() {
+        return Ok(path);
+    }
+    Err(Error::NotBuilt(path.display().to_string()))
+}
+
+fn memory(status: &str) -> Option<u64> {
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let kib: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+    Some(kib * KIB)
+}
+
+fn processor(stat: &str) -> Option<Duration> {
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let mut times = fields.split(' ').skip(FIELDS_BEFORE_USER_TIME);
+    let user: f64 = times.next()?.parse().ok()?;
+    let system: f64 = times.next()?.parse().ok()?;
+    Some(Duration::from_secs_f64((user + system) / TICKS_PER_SECOND))
+}
--- /dev/null
+++ b/crates/trials/src/rules.rs
@@ -0,0 +1,81 @@
+//! Rules texts of deployments.
+
+use std::fmt::Write;
+
+use crate::deployment::DEADLINE;
+use crate::deployment::Deployment;
+use crate::vm::Port;
+use crate::vm::Vm;
+
+/// What changes from one version of a deployment's rules to the next.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// Availability zones that are out of service.
+    pub zones_out: Vec<String>,
+    /// Number that makes a version differ from others.
+    pub revision: u64,
+}
+
+/// Returns the rules of a deployment.
+pub fn text(deployment: &Deployment, vms: &[Vm], changes: &Changes) -> String {
+    let mut text = String::new();
+    write(&mut text, deployment, vms, changes).expect("a string takes all text");
+    text
+}
+
+fn write(
+    f: &mut String,
+    deployment: &Deployment,
+    vms: &[Vm],
+    changes: &Changes,
+) -> std::fmt::Result {
+    writeln!(f, "# Revision {}.", changes.revision)?;
+    writeln!(f, "epoch 1  # operations")?;
+    for zone in deployment.zones {
+        writeln!(f, "zone {zone} region={}  # operations", deployment.region)?;
+    }
+    services(f, deployment)?;
+    for vm in vms {
+        let (peer, control) = (vm.address(Port::Peer), vm.address(Port::Control));
+        let Vm {
+            name,
+            zone,
+            service,
+            ..
+        } = vm;
+        write!(f, "upstream up-{name} service={service} zone={zone} ")?;
+        writeln!(f, "vm={name} peer={peer} control={control}  # operations")?;
+    }
+    for zone in &changes.zones_out {
+        writeln!(f, "out zone={zone}  # night shift")?;
+    }
+    Ok(())
+}
+
+fn services(f: &mut String, deployment: &Deployment) -> std::fmt::Result {
+    let (slots, connections) = (deployment.slots, deployment.connections);
+    for service in deployment.services {
+        let name = service.name;
+        writeln!(
+            f,
+            "service {name} slots={slots} cold-slots=1 connections={connections}  # operations"
+        )?;
+        writeln!(f, "retry {name} attempts=2 budget=10%  # operations")?;
+        for kind in service.kinds {
+            let semantics = if kind.idempotent {
+                "idempotent"
+            } else {
+                "at-most-once"
+            };
+            let deadline = humantime::format_duration(DEADLINE);
+            let (label, path, method) = (kind.name, kind.path, kind.method);
+            writeln!(
+                f,
+                "kind {name}/{label} semantics={semantics} deadline={deadline}  # operations"
+            )?;
+            write!(f, "route {label} path={path} method={method} ")?;
+            writeln!(f, "service={name} kind={label}  # operations")?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trials/src/settings.rs
@@ -0,0 +1,39 @@
+//! Settings files of nodes.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fleet::KEY;
+use crate::vm::Port;
+use crate::vm::Vm;
+
+const SEEDS: usize = 3;
+
+/// Returns the settings of a node, whose seeds are other VMs.
+pub fn text(vm: &Vm, vms: &[Vm], platform: SocketAddr) -> String {
+    let others = vms.iter().filter(|other| other.name != vm.name);
+    let step = vms.len().div_ceil(SEEDS).max(1);
+    let seeds: Vec<_> = others.step_by(step).map(seed).collect();
+    let settings = json!({
+        "vm": vm.name,
+        "zone": vm.zone,
+        "callers": vm.address(Port::Callers),
+        "peer": vm.address(Port::Peer),
+        "control": vm.address(Port::Control),
+        "operators": vm.address(Port::Operators),
+        "target": vm.address(Port::Target),
+        "platform": { "addresses": [platform], "key": KEY },
+        "seeds": seeds,
+    });
+    // JSON is a part of YAML.
+    settings.to_string()
+}
+
+fn seed(vm: &Vm) -> Value {
+    json!({
+        "peer": vm.address(Port::Peer),
+        "control": vm.address(Port::Control),
+    })
+}
