Choose upstreams by distance and load, and bound retries

Change: near upstreams with room first, then the region, then the rest; the less loaded of two; a share of a target that is not warm; suspects and failing ones last. Retries come out of a token bucket for each service, stop when most attempts meet overload, and only at the first node of a chain. A call that may have run is never answered with 'not run'. Measured: 15 tests of balancing and retries pass; one of them first showed a lookup that may have run and was answered 'not run'.

--- a/crates/kernel/src/requests/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use celeryshore_model::RequestKey;
 use celeryshore_model::Service;
 use celeryshore_model::Snapshot;
 use celeryshore_model::Time;
@@ -9,14 +10,15 @@
 use celeryshore_model::UpstreamName;
 use celeryshore_model::ZoneName;
 
+use super::call::Call;
+use super::call::Leg;
+use super::peer_load::PeerLoad;
 use crate::MemberState;
 use crate::NotRun;
 use crate::Reply;
 use crate::ReplyOutcome;
-use crate::requests::call::Call;
-use crate::requests::call::Leg;
 use crate::requests::context::Context;
-use crate::requests::peer_load::PeerLoad;
+use crate::requests::rendezvous;
 
 /// Chooses upstreams by what this node sees of them.
 #[derive(Debug)]
@@ -60,12 +62,16 @@
     /// Chooses an upstream that the call has not been handed to.
     ///
     /// The nearest ones with room come first, then any that are in order, and
-    /// those that are suspected or failed lately come last.
+    /// those that are suspected or failed lately come last. A keyed call goes
+    /// by the order of its key, so that its copies meet.
     pub(super) fn pick(&mut self, cx: &Context<'_>, call: &Call) -> Option<Upstream> {
         let snapshot = cx.view.snapshot()?;
         let service = snapshot.services.get(&call.kind.service)?;
         let candidates = self.candidates(cx, snapshot, service, call);
-        let upstream = choose(&mut self.rng, &candidates)?;
+        let upstream = match call.key() {
+            Some(key) => by_key(service, key, &candidates, call.is_first_send())?,
+            None => choose(&mut self.rng, &candidates)?,
+        };
         self.load(&upstream.name).sent();
         Some(upstream.clone())
     }
@@ -181,6 +187,26 @@
     less_loaded_of_two(rng, sound).or_else(|| less_loaded_of_two(rng, candidates.iter().collect()))
 }
 
+/// Chooses by the order of a key, in which only a first send may pass over an
+/// upstream because it has no room.
+fn by_key<'a>(
+    service: &Service,
+    key: &RequestKey,
+    candidates: &[Candidate<'a>],
+    is_first_send: bool,
+) -> Option<&'a Upstream> {
+    let order: Vec<_> = rendezvous::order(&service.upstreams, key)
+        .into_iter()
+        .filter_map(|name| candidates.iter().find(|c| c.upstream.name == *name))
+        .collect();
+    let roomy = order
+        .iter()
+        .find(|c| is_first_send && !c.is_doubtful && c.has_room);
+    let sound = order.iter().find(|c| !c.is_doubtful);
+    let choice = roomy.or(sound).or(order.first())?;
+    Some(choice.upstream)
+}
+
 fn less_loaded_of_two<'a>(
     rng: &mut fastrand::Rng,
     mut candidates: Vec<&Candidate<'a>>,
--- /dev/null
+++ b/crates/kernel/src/requests/handing/budget.rs
@@ -0,0 +1,56 @@
+//! How many retries a service may get.
+
+use celeryshore_model::Share;
+
+/// Cost of one retry, in thousandths of a first attempt.
+const RETRY_COST: u32 = 1_000;
+/// Most retries that can be saved up, in thousandths.
+const MAX_TOKENS: u32 = 10 * RETRY_COST;
+/// Share of overload refusals beyond which nothing is retried, in thousandths.
+const MAX_PRESSURE: u32 = 500;
+/// Weight of the latest outcome in the share of overload refusals, as a divisor.
+const SMOOTHING: u32 = 16;
+
+/// Token bucket of one service's retries, filled by its first attempts.
+#[derive(Debug)]
+pub(super) struct Budget {
+    tokens: u32,
+    pressure: u32,
+}
+
+impl Budget {
+    /// Makes a full bucket.
+    pub(super) const fn new() -> Self {
+        Self {
+            tokens: MAX_TOKENS,
+            pressure: 0,
+        }
+    }
+
+    /// Adds the share of one first attempt.
+    pub(super) fn deposit(&mut self, share: Share) {
+        self.tokens = (self.tokens + share.per_mille()).min(MAX_TOKENS);
+    }
+
+    /// Records whether an attempt was refused for overload.
+    pub(super) fn observe(&mut self, is_overload: bool) {
+        let latest = if is_overload { 1_000 } else { 0 };
+        self.pressure = (self.pressure * (SMOOTHING - 1) + latest) / SMOOTHING;
+    }
+
+    /// Takes one retry out of the bucket, if there is one and the service is
+    /// not overloaded as a whole.
+    pub(super) fn withdraw(&mut self) -> bool {
+        if self.pressure > MAX_PRESSURE || self.tokens < RETRY_COST {
+            return false;
+        }
+        self.tokens -= RETRY_COST;
+        true
+    }
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/kernel/src/requests/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -10,17 +10,22 @@
 use celeryshore_model::RequestKey;
 use celeryshore_model::Semantics;
 use celeryshore_model::Time;
+use celeryshore_model::Upstream;
 use celeryshore_model::UpstreamName;
 use celeryshore_model::VmName;
 
 use crate::Delivery;
+use crate::Handover;
 use crate::NotRun;
+use crate::Unknown;
 use crate::requests::ExchangeId;
 use crate::requests::context::Context;
 use crate::requests::headers;
 
 /// Calls may be nested this deep.
 const MAX_DEPTH: u8 = 8;
+/// Attempt number of a first send.
+const FIRST: Attempt = Attempt::new(1);
 
 /// Result of the checks that a request passes before it is handed over.
 pub(super) type Result<T> = std::result::Result<T, NotRun>;
@@ -42,10 +47,12 @@
     pub(super) fingerprint: Digest,
     /// VMs that were lost while they ran it.
     pub(super) casualties: Vec<VmName>,
-    /// Hand-overs so far.
-    pub(super) handovers: u32,
+    /// Hand-overs that a peer may have got.
+    pub(super) attempts: u32,
     /// Upstreams that it was handed to.
     pub(super) tried: Vec<UpstreamName>,
+    /// Whether the call may already have run, or its key in an earlier send.
+    pub(super) doubt: Option<Unknown>,
     /// The hand-over under way.
     pub(super) current: Option<Leg>,
 }
@@ -57,6 +64,8 @@
     pub(super) exchange: ExchangeId,
     /// Upstream that was chosen.
     pub(super) upstream: UpstreamName,
+    /// VM of the upstream.
+    pub(super) vm: VmName,
     /// Whether the upstream is this node's own.
     pub(super) is_local: bool,
 }
@@ -69,10 +78,8 @@
         }
         let snapshot = cx.view.snapshot().ok_or(NotRun::Learning)?;
         let kind = cx.view.route(&request, draw).ok_or(NotRun::NoRoute)?;
-        let service = snapshot
-            .services
-            .get(&kind.service)
-            .ok_or(NotRun::NoRoute)?;
+        let service = snapshot.services.get(&kind.service);
+        let service = service.ok_or(NotRun::NoRoute)?;
         let rule = service.kinds.get(&kind.kind).ok_or(NotRun::NoRoute)?;
         let depth = headers::depth(&request);
         if depth.get() > MAX_DEPTH {
@@ -86,20 +93,76 @@
             delivery: delivery(rule.semantics, &request)?,
             deadline: cx.now.mono + rule.deadline.min(patience),
             fingerprint: fingerprint(&request),
+            doubt: doubt(rule.semantics, &request),
             request,
             kind,
             depth,
             casualties: Vec::new(),
-            handovers: 0,
+            attempts: 0,
             tried: Vec::new(),
             current: None,
         })
     }
 
+    /// Returns the idempotency key of an operation that must run at most once.
+    pub(super) const fn key(&self) -> Option<&RequestKey> {
+        match &self.delivery {
+            Delivery::Keyed { key, .. } => Some(key),
+            Delivery::Repeatable | Delivery::Once => None,
+        }
+    }
+
+    /// Tells whether the caller says that it sends the key for the first time.
+    pub(super) fn is_first_send(&self) -> bool {
+        matches!(&self.delivery, Delivery::Keyed { attempt, .. } if *attempt == Some(FIRST))
+    }
+
     /// Tells whether running it twice does no harm.
     pub(super) const fn is_repeatable(&self) -> bool {
         matches!(self.delivery, Delivery::Repeatable)
     }
+
+    /// Marks the next hand-over of the key as a resend.
+    pub(super) fn mark_resend(&mut self) {
+        if let Delivery::Keyed {
+            attempt: Some(attempt),
+            ..
+        } = &mut self.delivery
+        {
+            *attempt = Attempt::new(attempt.get().saturating_add(1));
+        }
+    }
+
+    /// Makes the hand-over to an upstream.
+    pub(super) fn handover(&self, cx: &Context<'_>, upstream: &Upstream) -> Handover {
+        Handover {
+            from: cx.view.cfg().vm.clone(),
+            version: cx.view.version(),
+            upstream: upstream.name.clone(),
+            kind: self.kind.clone(),
+            delivery: self.delivery.clone(),
+            remaining: self.deadline - cx.now.mono,
+            depth: self.depth,
+            fingerprint: self.fingerprint,
+            casualties: self.casualties.clone(),
+            request: self.request.clone(),
+        }
+    }
+}
+
+/// Returns why "not run" cannot be said of a request that was just received:
+/// its key may have run in an earlier send.
+pub(super) fn prior_doubt(request: &HttpRequest) -> Option<Unknown> {
+    let is_keyed = request.header(headers::KEY).is_some();
+    let is_first = attempt(request) == Some(FIRST);
+    (is_keyed && !is_first).then_some(Unknown::NotJudged)
+}
+
+fn doubt(semantics: Semantics, request: &HttpRequest) -> Option<Unknown> {
+    match semantics {
+        Semantics::Idempotent => None,
+        Semantics::AtMostOnce => prior_doubt(request),
+    }
 }
 
 fn delivery(semantics: Semantics, request: &HttpRequest) -> Result<Delivery> {
--- a/crates/kernel/src/requests/handing.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -1,13 +1,22 @@
 //! The handing node: takes callers' requests and hands them to upstreams.
 
+mod balancer;
+mod budget;
+mod call;
+mod peer_load;
+mod retry;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use celeryshore_model::HttpRequest;
+use celeryshore_model::ServiceName;
 use celeryshore_model::Time;
-use celeryshore_model::Upstream;
 
-use crate::Handover;
+use self::balancer::Balancer;
+use self::budget::Budget;
+use self::call::Call;
+use self::call::Leg;
 use crate::NotRun;
 use crate::Reply;
 use crate::ReplyOutcome;
@@ -17,9 +26,6 @@
 use crate::requests::ExchangeId;
 use crate::requests::Progress;
 use crate::requests::RequestAction;
-use crate::requests::balancer::Balancer;
-use crate::requests::call::Call;
-use crate::requests::call::Leg;
 use crate::requests::context::Context;
 use crate::requests::timers::Timers;
 
@@ -33,6 +39,7 @@
     exchanges: BTreeMap<ExchangeId, CallId>,
     deadlines: Timers<CallId>,
     balancer: Balancer,
+    budgets: BTreeMap<ServiceName, Budget>,
 }
 
 impl Handing {
@@ -43,6 +50,7 @@
             exchanges: BTreeMap::new(),
             deadlines: Timers::new(),
             balancer: Balancer::new(seed),
+            budgets: BTreeMap::new(),
         }
     }
 
@@ -58,15 +66,33 @@
 
     /// Takes a caller's request.
     pub(super) fn arrived(&mut self, cx: &mut Context<'_>, id: CallId, request: HttpRequest) {
+        let doubt = call::prior_doubt(&request);
         match Call::route(cx, request, self.balancer.draw()) {
-            Ok(call) => {
-                self.deadlines.set(id, call.deadline);
-                self.hand_over(cx, id, call, NotRun::NoUpstream, RETRY_AFTER);
+            Ok(call) => self.begin(cx, id, call),
+            Err(NotRun::Learning) if let Some(doubt) = doubt => {
+                self.answer(cx, id, retry::unknown_answer(doubt));
+            }
+            Err(reason) => {
+                let retry_after = RETRY_AFTER;
+                let answer = Answer::NotRun {
+                    reason,
+                    retry_after,
+                };
+                self.answer(cx, id, answer);
             }
-            Err(reason) => answer_not_run(cx, id, reason, RETRY_AFTER),
         }
     }
 
+    fn begin(&mut self, cx: &mut Context<'_>, id: CallId, call: Call) {
+        if let Some(service) = cx.view.service(&call.kind.service) {
+            let share = service.retry.budget;
+            self.budget(&call).deposit(share);
+        }
+        self.deadlines.set(id, call.deadline);
+        let answer = retry::refusal_answer(&call, NotRun::NoUpstream, RETRY_AFTER);
+        self.hand_over(cx, id, call, answer);
+    }
+
     /// Gives up a call whose caller has gone.
     pub(super) fn cancelled(&mut self, cx: &mut Context<'_>, id: CallId) {
         if let Some(leg) = self.close(cx, id) {
@@ -80,7 +106,7 @@
             if let Some(leg) = self.close(cx, id) {
                 self.balancer.failed(cx.now.mono, &leg);
             }
-            answer_unknown(cx, id, Unknown::Deadline);
+            self.answer(cx, id, retry::unknown_answer(Unknown::Deadline));
         }
     }
 
@@ -90,81 +116,56 @@
             return;
         };
         self.balancer.replied(cx, &leg, &reply);
+        self.budget(&call).observe(is_overload(&reply.outcome));
         match reply.outcome {
             ReplyOutcome::Answered(response) => self.answer(cx, id, Answer::Whole(response)),
             ReplyOutcome::NotRun {
                 reason,
                 retry_after,
-            } => self.refused(cx, id, call, reason, retry_after),
-            ReplyOutcome::Unknown(reason) => self.unknown(cx, id, call, reason),
+            } => self.refused(cx, id, call, (reason, retry_after)),
+            ReplyOutcome::Unknown(reason) => self.uncertain(cx, id, call, reason),
         }
     }
 
-    /// Takes the failure of a hand-over's exchange.
+    /// Takes the failure of a hand-over's exchange; tells whether it was one.
     pub(super) fn failed(
         &mut self,
         cx: &mut Context<'_>,
         exchange: ExchangeId,
         progress: Progress,
-    ) {
+    ) -> bool {
         let Some((id, call, leg)) = self.take(exchange) else {
-            return;
+            return false;
         };
         self.balancer.failed(cx.now.mono, &leg);
-        match progress {
-            Progress::NeverSent => {
-                self.hand_over(cx, id, call, NotRun::NoUpstream, RETRY_AFTER);
-            }
-            Progress::MaybeSent => self.unknown(cx, id, call, Unknown::PeerLost),
-        }
-    }
-
-    fn refused(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        call: Call,
-        reason: NotRun,
-        retry_after: Duration,
-    ) {
-        self.hand_over(cx, id, call, reason, retry_after);
+        self.broken(cx, id, call, &leg, progress);
+        true
     }
 
-    fn unknown(&mut self, cx: &mut Context<'_>, id: CallId, call: Call, reason: Unknown) {
-        if call.is_repeatable() && reason != Unknown::Deadline {
-            self.hand_over(cx, id, call, NotRun::NoUpstream, RETRY_AFTER);
-        } else {
-            self.deadlines.cancel(id);
-            answer_unknown(cx, id, reason);
-        }
-    }
-
-    fn hand_over(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        mut call: Call,
-        reason: NotRun,
-        retry_after: Duration,
-    ) {
+    /// Hands a call to an upstream, or gives the answer if there is none left.
+    fn hand_over(&mut self, cx: &mut Context<'_>, id: CallId, mut call: Call, answer: Answer) {
         let Some(upstream) = self.balancer.pick(cx, &call) else {
-            self.deadlines.cancel(id);
-            answer_not_run(cx, id, reason, retry_after);
+            self.answer(cx, id, answer);
             return;
         };
-        let handover = handover(cx, &call, &upstream);
+        let handover = call.handover(cx, &upstream);
         let exchange = cx.send(&upstream, Box::new(handover).into(), call.deadline);
-        call.handovers += 1;
+        call.attempts += 1;
         call.tried.push(upstream.name.clone());
         call.current = Some(Leg {
             exchange,
             is_local: upstream.vm == cx.view.cfg().vm,
             upstream: upstream.name,
+            vm: upstream.vm,
         });
         self.exchanges.insert(exchange, id);
         self.calls.insert(id, call);
     }
 
+    fn budget(&mut self, call: &Call) -> &mut Budget {
+        self.budgets.entry(call.kind.service.clone()).or_default()
+    }
+
     fn take(&mut self, exchange: ExchangeId) -> Option<(CallId, Call, Leg)> {
         let id = self.exchanges.remove(&exchange)?;
         let mut call = self.calls.remove(&id)?;
@@ -186,33 +187,12 @@
     }
 }
 
-fn handover(cx: &Context<'_>, call: &Call, upstream: &Upstream) -> Handover {
-    Handover {
-        from: cx.view.cfg().vm.clone(),
-        version: cx.view.version(),
-        upstream: upstream.name.clone(),
-        kind: call.kind.clone(),
-        delivery: call.delivery.clone(),
-        remaining: call.deadline - cx.now.mono,
-        depth: call.depth,
-        fingerprint: call.fingerprint,
-        casualties: call.casualties.clone(),
-        request: call.request.clone(),
-    }
-}
-
-fn answer_not_run(cx: &mut Context<'_>, call: CallId, reason: NotRun, retry_after: Duration) {
-    let answer = Answer::NotRun {
-        reason,
-        retry_after,
-    };
-    cx.actions.push(RequestAction::Answer { call, answer });
-}
-
-fn answer_unknown(cx: &mut Context<'_>, call: CallId, reason: Unknown) {
-    let answer = Answer::Unknown {
-        reason,
-        retry_after: RETRY_AFTER,
-    };
-    cx.actions.push(RequestAction::Answer { call, answer });
+const fn is_overload(outcome: &ReplyOutcome) -> bool {
+    matches!(
+        outcome,
+        ReplyOutcome::NotRun {
+            reason: NotRun::Overloaded | NotRun::ColdStart,
+            ..
+        }
+    )
 }
--- /dev/null
+++ b/crates/kernel/src/requests/handing/retry.rs
@@ -0,0 +1,151 @@
+//! What follows when a hand-over did not bring an answer.
+
+use std::time::Duration;
+
+use super::Handing;
+use super::RETRY_AFTER;
+use super::call::Call;
+use super::call::Leg;
+use crate::MemberState;
+use crate::NotRun;
+use crate::Unknown;
+use crate::requests::Answer;
+use crate::requests::CallId;
+use crate::requests::Progress;
+use crate::requests::context::Context;
+
+impl Handing {
+    /// Goes on after a true refusal: to another upstream, within the budget.
+    pub(super) fn refused(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        mut call: Call,
+        refusal: (NotRun, Duration),
+    ) {
+        let (reason, retry_after) = refusal;
+        if call.key().is_some() && speaks_of_key(reason) {
+            call.doubt = None;
+        }
+        let answer = refusal_answer(&call, reason, retry_after);
+        if is_final(reason) || !self.may_retry(cx, &call) {
+            self.answer(cx, id, answer);
+        } else {
+            self.hand_over(cx, id, call, answer);
+        }
+    }
+
+    /// Goes on after an exchange that broke.
+    pub(super) fn broken(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        mut call: Call,
+        leg: &Leg,
+        progress: Progress,
+    ) {
+        if progress == Progress::NeverSent {
+            call.attempts -= 1;
+            let answer = refusal_answer(&call, NotRun::NoUpstream, RETRY_AFTER);
+            self.hand_over(cx, id, call, answer);
+        } else if call.key().is_some() {
+            self.judge(cx, id, call, leg);
+        } else {
+            self.uncertain(cx, id, call, Unknown::PeerLost);
+        }
+    }
+
+    /// Goes on after a hand-over that may have run: only idempotent kinds do.
+    pub(super) fn uncertain(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        mut call: Call,
+        reason: Unknown,
+    ) {
+        call.doubt = Some(reason);
+        let answer = unknown_answer(reason);
+        let is_repeatable = call.is_repeatable() && reason != Unknown::Deadline;
+        if is_repeatable && self.may_retry(cx, &call) {
+            self.hand_over(cx, id, call, answer);
+        } else {
+            self.answer(cx, id, answer);
+        }
+    }
+
+    /// Hands a key to the next upstream as a resend, which is judged there.
+    ///
+    /// No judgement can succeed without the node that was lost, so a dead one
+    /// ends the call at once.
+    fn judge(&mut self, cx: &mut Context<'_>, id: CallId, mut call: Call, leg: &Leg) {
+        call.doubt = Some(Unknown::PeerLost);
+        call.mark_resend();
+        let answer = unknown_answer(Unknown::PeerLost);
+        let is_dead = cx.view.member(&leg.vm) == MemberState::Dead;
+        if is_dead || call.attempts >= max_attempts(cx, &call) {
+            self.answer(cx, id, answer);
+        } else {
+            self.hand_over(cx, id, call, answer);
+        }
+    }
+
+    /// Tells whether a call may be handed over once more, and pays for it.
+    ///
+    /// In a chain of calls only the first node retries, or retries multiply.
+    fn may_retry(&mut self, cx: &Context<'_>, call: &Call) -> bool {
+        call.depth.get() == 0
+            && call.attempts < max_attempts(cx, call)
+            && cx.now.mono < call.deadline
+            && self.budget(call).withdraw()
+    }
+}
+
+fn max_attempts(cx: &Context<'_>, call: &Call) -> u32 {
+    let service = cx.view.service(&call.kind.service);
+    service.map_or(1, |s| s.retry.attempts)
+}
+
+/// Makes the answer to a call that was refused.
+pub(super) fn refusal_answer(call: &Call, reason: NotRun, retry_after: Duration) -> Answer {
+    match call.doubt {
+        Some(reason) => unknown_answer(reason),
+        None => Answer::NotRun {
+            reason,
+            retry_after,
+        },
+    }
+}
+
+/// Makes the answer to a call that may have run.
+pub(super) const fn unknown_answer(reason: Unknown) -> Answer {
+    Answer::Unknown {
+        reason,
+        retry_after: RETRY_AFTER,
+    }
+}
+
+/// Tells whether a refusal is given only after the admitting node knew that
+/// the key has run nowhere.
+const fn speaks_of_key(reason: NotRun) -> bool {
+    matches!(
+        reason,
+        NotRun::Overloaded
+            | NotRun::ColdStart
+            | NotRun::TargetDown
+            | NotRun::Deadline
+            | NotRun::KeyReused
+    )
+}
+
+/// Tells whether other upstreams would refuse the request as well.
+const fn is_final(reason: NotRun) -> bool {
+    matches!(
+        reason,
+        NotRun::Deadline
+            | NotRun::Cancelled
+            | NotRun::Poison
+            | NotRun::KeyReused
+            | NotRun::TooLarge
+            | NotRun::TooDeep
+    )
+}
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -1,8 +1,6 @@
 //! Decisions about requests: routing, admission, retries, at most once.
 
 mod admitting;
-mod balancer;
-mod call;
 mod context;
 mod dispatch;
 mod event;
@@ -10,7 +8,7 @@
 mod headers;
 mod journal;
 mod lifecycle;
-mod peer_load;
+mod rendezvous;
 mod section;
 mod timers;
 mod view;
--- /dev/null
+++ b/crates/kernel/src/requests/rendezvous.rs
@@ -0,0 +1,25 @@
+//! Order of a service's upstreams for one idempotency key.
+
+use std::cmp::Reverse;
+
+use celeryshore_model::Digest;
+use celeryshore_model::RequestKey;
+use celeryshore_model::UpstreamName;
+
+/// Returns the upstreams in the order in which they take a key, its home first.
+///
+/// All nodes with the same list agree on the order, and a change of one
+/// upstream moves only the keys that it had or gets.
+pub(super) fn order<'a>(
+    upstreams: impl IntoIterator<Item = &'a UpstreamName>,
+    key: &RequestKey,
+) -> Vec<&'a UpstreamName> {
+    let mut order: Vec<_> = upstreams.into_iter().collect();
+    order.sort_by_cached_key(|name| Reverse(weight(name, key)));
+    order
+}
+
+fn weight(upstream: &UpstreamName, key: &RequestKey) -> Digest {
+    let name = upstream.as_str().as_bytes();
+    Digest::of(&[key.as_bytes(), &[0], name].concat())
+}
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -8,6 +8,7 @@
 use celeryshore_model::KindId;
 use celeryshore_model::Limits;
 use celeryshore_model::Service;
+use celeryshore_model::ServiceName;
 use celeryshore_model::Snapshot;
 use celeryshore_model::Upstream;
 use celeryshore_model::Version;
@@ -106,6 +107,11 @@
         self.own_service().map(|s| s.limits)
     }
 
+    /// Returns a service by its name.
+    pub(super) fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.snapshot()?.services.get(name)
+    }
+
     /// Tells whether this node's own upstream is out of service.
     pub(super) fn is_own_out(&self) -> bool {
         let snapshot = self.snapshot();
--- /dev/null
+++ b/crates/kernel/tests/balancing.rs
@@ -0,0 +1,152 @@
+//! Choice of the upstream by distance and load.
+
+mod common;
+
+use std::sync::Arc;
+
+use celeryshore_kernel::MemberState;
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_model::Slots;
+
+use crate::common::Mesh;
+use crate::common::deployment::ordering;
+use crate::common::deployment::stock;
+use crate::common::deployment::tune;
+use crate::common::deployment::without_zone;
+use crate::common::name;
+
+/// Warm targets with four slots each.
+fn mesh(zones: &[&str]) -> Mesh {
+    let mut snapshot = ordering(zones);
+    tune(&mut snapshot, |s| {
+        s.limits.slots = Slots::new(4);
+        s.limits.cold_slots = Slots::new(4);
+    });
+    Mesh::new(&Arc::new(snapshot))
+}
+
+/// Makes a node's view of all loads fresh and idle.
+fn refresh(mesh: &mut Mesh, vm: &str, upstreams: usize) {
+    for _ in 0..4 * upstreams {
+        mesh.call(vm, stock());
+    }
+    while !mesh.runs.is_empty() {
+        mesh.answer("");
+    }
+    mesh.history.clear();
+}
+
+fn runs_at(mesh: &Mesh, vm: &str) -> usize {
+    mesh.history.iter().filter(|r| r.vm == name(vm)).count()
+}
+
+#[test]
+fn near_zone() {
+    let mut mesh = mesh(&["glasgow", "glasgow", "perth"]);
+    refresh(&mut mesh, "vm-1", 3);
+    for _ in 0..6 {
+        mesh.call("vm-1", stock());
+    }
+    assert_eq!(runs_at(&mesh, "vm-3"), 0);
+    assert!(runs_at(&mesh, "vm-1") >= 2);
+    assert!(runs_at(&mesh, "vm-2") >= 2);
+}
+
+#[test]
+fn spill_over() {
+    let mut mesh = mesh(&["glasgow", "perth", "galashiels"]);
+    refresh(&mut mesh, "vm-1", 3);
+    for _ in 0..12 {
+        mesh.call("vm-1", stock());
+    }
+    let order: Vec<_> = mesh.history.iter().map(|r| r.vm.as_str()).collect();
+    let near = ["vm-1"; 4];
+    let region = ["vm-3"; 4];
+    let far = ["vm-2"; 4];
+    assert_eq!(order, [near, region, far].concat(), "no call waited");
+}
+
+#[test]
+fn even_spread() {
+    let mut mesh = mesh(&["glasgow", "glasgow", "glasgow", "glasgow"]);
+    refresh(&mut mesh, "vm-1", 4);
+    for _ in 0..8 {
+        mesh.call("vm-1", stock());
+    }
+    let counts = ["vm-1", "vm-2", "vm-3", "vm-4"].map(|vm| runs_at(&mesh, vm));
+    assert!(counts.iter().all(|n| (1..=3).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn suspects_last() {
+    let mut mesh = mesh(&["glasgow", "glasgow", "perth"]);
+    refresh(&mut mesh, "vm-1", 3);
+    mesh.observe("vm-2", MemberState::Suspect);
+    for _ in 0..8 {
+        mesh.call("vm-1", stock());
+    }
+    assert_eq!(runs_at(&mesh, "vm-2"), 0);
+    mesh.observe("vm-1", MemberState::Dead);
+    mesh.observe("vm-3", MemberState::Dead);
+    mesh.call("vm-3", stock());
+    let last = mesh.history.last().expect("a run");
+    assert_eq!(
+        last.vm,
+        name("vm-3"),
+        "a node does not believe its own death"
+    );
+}
+
+#[test]
+fn failing_upstream() {
+    let mut mesh = mesh(&["glasgow", "perth", "perth"]);
+    mesh.set_cut("vm-1", "vm-2", true);
+    let mut snapshot = ordering(&["glasgow", "perth", "perth"]);
+    snapshot.version.index.0 += 1;
+    mesh.send_all(&RequestEvent::Configured(without_zone(
+        &snapshot, "glasgow",
+    )));
+    for _ in 0..8 {
+        mesh.call("vm-1", stock());
+        mesh.answer("");
+    }
+    let wasted = mesh.handovers - 8;
+    assert!(wasted <= 1, "{wasted} tries on a broken path");
+}
+
+#[test]
+fn cold_share() {
+    let mut snapshot = ordering(&["glasgow", "perth", "perth", "perth"]);
+    tune(&mut snapshot, |s| s.limits.cold_slots = Slots::new(3));
+    let mut mesh = Mesh::new(&Arc::new(snapshot.clone()));
+    let next = without_zone(&snapshot, "glasgow");
+    mesh.send_all(&RequestEvent::Configured(next));
+    for _ in 0..9 {
+        mesh.call("vm-1", stock());
+        mesh.answer("");
+    }
+    mesh.history.clear();
+    for _ in 0..3 {
+        mesh.call("vm-1", stock());
+    }
+    let counts = ["vm-2", "vm-3", "vm-4"].map(|vm| runs_at(&mesh, vm));
+    assert_eq!(counts, [1, 1, 1], "one share of three at each cold target");
+}
+
+#[test]
+fn old_report() {
+    let mut mesh = mesh(&["glasgow", "perth", "perth"]);
+    let snapshot = ordering(&["glasgow", "perth", "perth"]);
+    mesh.send_all(&RequestEvent::Configured(without_zone(
+        &snapshot, "glasgow",
+    )));
+    refresh(&mut mesh, "vm-1", 2);
+    mesh.call("vm-1", stock());
+    mesh.advance(900);
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Answered(common::response(200, "")));
+    mesh.advance(900);
+    mesh.call("vm-1", stock());
+    assert_eq!(mesh.runs[0].vm, run.vm, "an old report is no idle target");
+}
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -67,6 +67,8 @@
     pub history: Vec<Run>,
     /// Answers to callers.
     pub answers: BTreeMap<CallId, Answer>,
+    /// Hand-overs between nodes so far.
+    pub handovers: usize,
     /// Inquiries sent so far.
     pub inquiries: usize,
     /// Versions that nodes asked for.
@@ -104,6 +106,7 @@
             runs: Vec::new(),
             history: Vec::new(),
             answers: BTreeMap::new(),
+            handovers: 0,
             inquiries: 0,
             catch_ups: 0,
             held: BTreeSet::new(),
@@ -317,6 +320,7 @@
 
     fn transmit(&mut self, from: &VmName, exchange: ExchangeId, to: &VmName, msg: PeerRequest) {
         self.inquiries += usize::from(matches!(msg, PeerRequest::Inquiry(_)));
+        self.handovers += usize::from(matches!(msg, PeerRequest::Handover(_)));
         let is_cut = self.cut.contains(&(from.clone(), to.clone()));
         if is_cut || !self.nodes.contains_key(to) {
             let progress = Progress::NeverSent;
--- /dev/null
+++ b/crates/kernel/tests/retries.rs
@@ -0,0 +1,167 @@
+//! Retries where they cannot harm, within a budget.
+
+mod common;
+
+use std::sync::Arc;
+
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::CallId;
+use celeryshore_kernel::NotRun;
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::Unknown;
+use celeryshore_model::Share;
+use celeryshore_model::Slots;
+
+use crate::common::Mesh;
+use crate::common::deployment::order;
+use crate::common::deployment::ordering;
+use crate::common::deployment::stock;
+use crate::common::deployment::tune;
+use crate::common::deployment::with;
+use crate::common::deployment::without_zone;
+
+/// Hands over from vm-1 to vm-2 and vm-3, which have one slot each.
+fn mesh() -> Mesh {
+    let mut snapshot = ordering(&["glasgow", "perth", "perth"]);
+    tune(&mut snapshot, |s| {
+        s.limits.slots = Slots::new(1);
+        s.limits.queue = Slots::new(0);
+        s.retry.budget = Share::from_per_mille(0);
+    });
+    let mut mesh = Mesh::new(&Arc::new(snapshot.clone()));
+    let next = without_zone(&snapshot, "glasgow");
+    mesh.send_all(&RequestEvent::Configured(next));
+    mesh
+}
+
+fn unknown(mesh: &Mesh, call: CallId) -> Unknown {
+    match &mesh.answers[&call] {
+        Answer::Unknown { reason, .. } => *reason,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Occupies both targets by calls of other nodes.
+fn occupy(mesh: &mut Mesh) {
+    mesh.call("vm-2", order());
+    mesh.call("vm-3", order());
+    assert_eq!(mesh.runs.len(), 2);
+}
+
+#[test]
+fn after_refusal() {
+    let mut mesh = mesh();
+    mesh.call("vm-2", order());
+    for _ in 0..4 {
+        let call = mesh.call("vm-1", order());
+        let run = mesh.runs.pop().expect("a run");
+        mesh.finish(&run, Outcome::Answered(common::response(200, "")));
+        assert!(matches!(mesh.answers[&call], Answer::Whole(_)));
+    }
+}
+
+#[test]
+fn lost_order() {
+    let mut mesh = mesh();
+    let call = mesh.call("vm-1", order());
+    let vm = mesh.runs[0].vm.clone();
+    mesh.kill(vm.as_str());
+    assert_eq!(unknown(&mesh, call), Unknown::PeerLost);
+    assert_eq!(mesh.history.len(), 1);
+}
+
+#[test]
+fn lost_lookup() {
+    let mut mesh = mesh();
+    let call = mesh.call("vm-1", stock());
+    let vm = mesh.runs[0].vm.clone();
+    mesh.kill(vm.as_str());
+    mesh.answer("40");
+    assert!(matches!(mesh.answers[&call], Answer::Whole(_)));
+    assert_eq!(mesh.history.len(), 2);
+}
+
+#[test]
+fn honest_refusal() {
+    let mut mesh = mesh();
+    let call = mesh.call("vm-1", stock());
+    let vm = mesh.runs[0].vm.clone();
+    let other = if vm.as_str() == "vm-2" {
+        "vm-3"
+    } else {
+        "vm-2"
+    };
+    mesh.call(other, order());
+    mesh.kill(vm.as_str());
+    assert_eq!(unknown(&mesh, call), Unknown::PeerLost);
+}
+
+#[test]
+fn never_sent() {
+    let mut mesh = mesh();
+    mesh.set_cut("vm-1", "vm-2", true);
+    for depth in ["0", "3"].repeat(20) {
+        let call = mesh.call("vm-1", with(order(), "celeryshore-depth", depth));
+        mesh.answer("");
+        assert!(matches!(mesh.answers[&call], Answer::Whole(_)));
+        mesh.advance(10_000);
+    }
+    assert!(mesh.handovers > 40, "the cut was met");
+}
+
+#[test]
+fn spent_budget() {
+    let mut mesh = mesh();
+    let mut refused = 0;
+    for _ in 0..60 {
+        mesh.advance(1_200);
+        mesh.call("vm-2", order());
+        let call = mesh.call("vm-1", order());
+        refused += usize::from(mesh.answers.contains_key(&call));
+        while !mesh.runs.is_empty() {
+            mesh.answer("");
+        }
+    }
+    assert!(refused > 10, "{refused}");
+    assert!(mesh.handovers <= 130, "{}", mesh.handovers);
+}
+
+#[test]
+fn overload_everywhere() {
+    let mut mesh = mesh();
+    tune_budget(&mut mesh, 1_000);
+    occupy(&mut mesh);
+    for _ in 0..100 {
+        let call = mesh.call("vm-1", order());
+        assert!(matches!(
+            mesh.answers[&call],
+            Answer::NotRun {
+                reason: NotRun::Overloaded,
+                ..
+            }
+        ));
+    }
+    let retries = mesh.handovers - 100;
+    assert!(retries <= 10, "{retries}");
+}
+
+#[test]
+fn nested_calls() {
+    let mut mesh = mesh();
+    occupy(&mut mesh);
+    mesh.call("vm-1", with(order(), "celeryshore-depth", "1"));
+    assert_eq!(mesh.handovers, 1);
+}
+
+fn tune_budget(mesh: &mut Mesh, per_mille: u32) {
+    let mut snapshot = ordering(&["glasgow", "perth", "perth"]);
+    tune(&mut snapshot, |s| {
+        s.limits.slots = Slots::new(1);
+        s.limits.queue = Slots::new(0);
+        s.retry.budget = Share::from_per_mille(per_mille);
+    });
+    snapshot.version.index.0 += 1;
+    let next = without_zone(&snapshot, "glasgow");
+    mesh.send_all(&RequestEvent::Configured(next));
+}
