Run keyed requests at most once across nodes

Cause: keyed requests were handed over like any other, and a resend through another node ran again. Ruled out: a refusal of resends outright; a resend finds the first answer as long as its node lives. Also a bare 'not run' for a resend that nobody judged: its key may have run before, so it is 'outcome unknown'. Conclusion: interleavings are to be searched next.

--- a/crates/kernel/src/requests/admitting/admission.rs
+++ b/crates/kernel/src/requests/admitting/admission.rs
@@ -82,6 +82,9 @@
 
     /// Judges a request that has `remaining` time left.
     pub(super) fn judge(&self, now: Time, remaining: Duration) -> Verdict {
+        if remaining.is_zero() {
+            return Verdict::Refuse(self.refusal(NotRun::Deadline));
+        }
         if self.is_target_draining {
             return Verdict::Refuse(self.refusal(NotRun::Leaving));
         }
--- a/crates/kernel/src/requests/admitting/expiry.rs
+++ b/crates/kernel/src/requests/admitting/expiry.rs
@@ -4,10 +4,15 @@
 
 use super::Admitting;
 use super::admission::Refusal;
+use super::task::JudgementId;
+use super::task::Task;
+use super::task::WaiterId;
+use super::waiter::Waiter;
 use super::work::Work;
 use crate::NotRun;
 use crate::ReplyOutcome;
 use crate::Unknown;
+use crate::requests::KeyOutcome;
 use crate::requests::RequestAction;
 use crate::requests::WorkId;
 use crate::requests::context::Context;
@@ -17,29 +22,52 @@
 const KEYED_GRACE: Duration = Duration::from_secs(2);
 
 impl Admitting {
-    /// Ends the work whose deadline has passed.
+    /// Ends the tasks whose deadline has passed.
     pub(in crate::requests) fn expire(&mut self, cx: &mut Context<'_>) {
-        while let Some(id) = self.deadlines.pop(cx.now.mono) {
-            self.expire_one(cx, id);
+        while let Some(task) = self.deadlines.pop(cx.now.mono) {
+            match task {
+                Task::Work(id) => self.expire_work(cx, id),
+                Task::Waiter(id) => self.expire_waiter(cx, id),
+                Task::Judgement(id) => self.expire_judgement(cx, id),
+            }
         }
         self.fill(cx);
     }
 
     /// Takes the end of an exchange whose handing node no longer waits.
     pub(in crate::requests) fn withdrawn(&mut self, cx: &mut Context<'_>, origin: Origin) {
-        let Some(id) = self.origins.remove(&origin) else {
-            return;
-        };
+        match self.origins.remove(&origin) {
+            Some(Task::Work(id)) => self.withdraw_work(cx, id),
+            Some(Task::Waiter(id)) => drop(self.end_wait(id)),
+            Some(Task::Judgement(id)) => drop(self.end_judgement(cx, id)),
+            None => {}
+        }
+        self.fill(cx);
+    }
+
+    fn withdraw_work(&mut self, cx: &mut Context<'_>, id: WorkId) {
         let Some(work) = self.works.get_mut(&id) else {
             return;
         };
         work.origin = None;
         if !work.is_running() {
-            self.drop_queued(id);
+            self.drop_queued(cx, id);
         } else if !work.is_keyed() {
             self.abort(cx, id);
         }
-        self.fill(cx);
+    }
+
+    fn expire_waiter(&mut self, cx: &mut Context<'_>, id: WaiterId) {
+        if let Some(Waiter::Copy(arrival)) = self.end_wait(id) {
+            self.reply(cx, arrival.origin, ReplyOutcome::Unknown(Unknown::Deadline));
+        }
+    }
+
+    fn expire_judgement(&mut self, cx: &mut Context<'_>, id: JudgementId) {
+        if let Some(judgement) = self.end_judgement(cx, id) {
+            let outcome = ReplyOutcome::Unknown(Unknown::WitnessUnreachable);
+            self.reply(cx, judgement.arrival.origin, outcome);
+        }
     }
 
     /// Refuses the waiting work that can no longer end in time.
@@ -57,7 +85,7 @@
         }
     }
 
-    fn expire_one(&mut self, cx: &mut Context<'_>, id: WorkId) {
+    fn expire_work(&mut self, cx: &mut Context<'_>, id: WorkId) {
         let Some(work) = self.works.get(&id) else {
             return;
         };
@@ -68,7 +96,7 @@
         let give_up = work.deadline + grace(work);
         self.answer_origin(cx, id, ReplyOutcome::Unknown(Unknown::Deadline));
         if give_up > cx.now.mono {
-            self.deadlines.set(id, give_up);
+            self.deadlines.set(id.into(), give_up);
         } else {
             self.abort(cx, id);
         }
@@ -77,7 +105,7 @@
     /// Ends waiting work.
     fn end(&mut self, cx: &mut Context<'_>, id: WorkId, outcome: ReplyOutcome) {
         self.answer_origin(cx, id, outcome);
-        self.drop_queued(id);
+        self.drop_queued(cx, id);
     }
 
     fn answer_origin(&mut self, cx: &mut Context<'_>, id: WorkId, outcome: ReplyOutcome) {
@@ -88,17 +116,23 @@
         }
     }
 
-    fn drop_queued(&mut self, id: WorkId) {
+    fn drop_queued(&mut self, cx: &mut Context<'_>, id: WorkId) {
         self.admission.dequeue(id);
-        self.deadlines.cancel(id);
-        self.works.remove(&id);
+        self.remove(cx, id, KeyOutcome::NotRun);
     }
 
     fn abort(&mut self, cx: &mut Context<'_>, id: WorkId) {
         self.admission.release();
-        self.deadlines.cancel(id);
-        self.works.remove(&id);
         cx.actions.push(RequestAction::Abort { work: id });
+        self.remove(cx, id, KeyOutcome::Lost);
+    }
+
+    fn remove(&mut self, cx: &mut Context<'_>, id: WorkId, outcome: KeyOutcome) {
+        self.deadlines.cancel(id.into());
+        let work = self.works.remove(&id);
+        if let Some(copy) = work.and_then(|w| w.copy) {
+            self.end_key(cx, &copy, outcome);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/kernel/src/requests/admitting/judgement.rs
@@ -0,0 +1,211 @@
+//! Judgement of a keyed copy: has its key run at any other upstream?
+
+use std::collections::BTreeMap;
+
+use celeryshore_model::Upstream;
+use celeryshore_model::VmName;
+
+use super::Admitting;
+use super::admission::Refusal;
+use super::arrival::Arrival;
+use super::keyed;
+use super::task::JudgementId;
+use super::task::WaiterId;
+use crate::Fence;
+use crate::Inquiry;
+use crate::MemberState;
+use crate::NotRun;
+use crate::ReplyOutcome;
+use crate::Seen;
+use crate::Unknown;
+use crate::Vote;
+use crate::requests::ExchangeId;
+use crate::requests::KeyedCopy;
+use crate::requests::RequestAction;
+use crate::requests::context::Context;
+
+/// What a vote leaves in doubt, or the outcome that it decides.
+type Result<T> = std::result::Result<T, ReplyOutcome>;
+
+/// A judgement under way.
+#[derive(Debug)]
+pub(super) struct Judgement {
+    /// The copy that is judged.
+    pub(super) arrival: Arrival,
+    copy: KeyedCopy,
+    fence: Fence,
+    /// Witnesses that have not voted.
+    pending: BTreeMap<ExchangeId, VmName>,
+    doubt: Option<Unknown>,
+}
+
+impl Admitting {
+    /// Asks every other upstream that may have run the key, and fences it there.
+    pub(super) fn judge(
+        &mut self,
+        cx: &mut Context<'_>,
+        arrival: Arrival,
+        copy: &KeyedCopy,
+        fence: Fence,
+        vouches: bool,
+    ) {
+        let id = JudgementId(self.next_number());
+        self.origins.insert(arrival.origin, id.into());
+        self.deadlines.set(id.into(), arrival.deadline);
+        let mut judgement = Judgement {
+            arrival,
+            copy: copy.clone(),
+            fence,
+            pending: BTreeMap::new(),
+            doubt: (!vouches).then_some(Unknown::WitnessRestarted),
+        };
+        for witness in cx.view.witnesses(cx.now.mono) {
+            self.ask(cx, id, &mut judgement, &witness);
+        }
+        self.judgements.insert(id, judgement);
+        self.conclude_if_complete(cx, id);
+    }
+
+    /// Takes the vote of a witness.
+    pub(in crate::requests) fn voted(
+        &mut self,
+        cx: &mut Context<'_>,
+        exchange: ExchangeId,
+        vote: Vote,
+    ) {
+        let Some(id) = self.inquiries.remove(&exchange) else {
+            return;
+        };
+        let Some(judgement) = self.judgements.get_mut(&id) else {
+            return;
+        };
+        let witness = judgement.pending.remove(&exchange);
+        if vote.version > cx.view.version() {
+            judgement.doubt = Some(Unknown::NotJudged);
+            catch_up(cx, &vote, witness);
+        }
+        match verdict(vote.seen) {
+            Ok(doubt) => judgement.doubt = judgement.doubt.or(doubt),
+            Err(outcome) => return self.conclude(cx, id, outcome),
+        }
+        self.conclude_if_complete(cx, id);
+    }
+
+    /// Takes the failure of an inquiry: its witness cannot be asked.
+    pub(in crate::requests) fn inquiry_failed(
+        &mut self,
+        cx: &mut Context<'_>,
+        exchange: ExchangeId,
+    ) {
+        let Some(id) = self.inquiries.remove(&exchange) else {
+            return;
+        };
+        if let Some(judgement) = self.judgements.get_mut(&id) {
+            judgement.pending.remove(&exchange);
+            judgement.doubt = Some(Unknown::WitnessUnreachable);
+        }
+        self.conclude_if_complete(cx, id);
+    }
+
+    /// Gives up a judgement.
+    pub(super) fn end_judgement(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: JudgementId,
+    ) -> Option<Judgement> {
+        let judgement = self.judgements.remove(&id)?;
+        self.origins.remove(&judgement.arrival.origin);
+        self.deadlines.cancel(id.into());
+        for exchange in judgement.pending.keys() {
+            self.inquiries.remove(exchange);
+            cx.abandon(*exchange, false);
+        }
+        Some(judgement)
+    }
+
+    fn ask(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: JudgementId,
+        judgement: &mut Judgement,
+        witness: &Upstream,
+    ) {
+        if cx.view.member(&witness.vm) == MemberState::Dead {
+            judgement.doubt = Some(Unknown::WitnessUnreachable);
+            return;
+        }
+        let inquiry = inquiry(cx, judgement);
+        let exchange = cx.send(witness, inquiry.into(), judgement.arrival.deadline);
+        judgement.pending.insert(exchange, witness.vm.clone());
+        self.inquiries.insert(exchange, id);
+    }
+
+    fn conclude(&mut self, cx: &mut Context<'_>, id: JudgementId, outcome: ReplyOutcome) {
+        if let Some(judgement) = self.end_judgement(cx, id) {
+            self.reply(cx, judgement.arrival.origin, outcome);
+        }
+    }
+
+    fn conclude_if_complete(&mut self, cx: &mut Context<'_>, id: JudgementId) {
+        let judgement = self.judgements.get(&id);
+        let Some(judgement) = judgement.filter(|j| j.pending.is_empty()) else {
+            return;
+        };
+        if let Some(doubt) = judgement.doubt {
+            self.conclude(cx, id, ReplyOutcome::Unknown(doubt));
+            return;
+        }
+        let Some(judgement) = self.end_judgement(cx, id) else {
+            return;
+        };
+        let Judgement {
+            arrival,
+            copy,
+            fence,
+            ..
+        } = judgement;
+        let waiter = WaiterId(self.next_number());
+        let begin = self.journal.judged(cx.now, &copy, &fence, waiter);
+        self.begun(cx, arrival, &copy, waiter, begin);
+    }
+}
+
+fn inquiry(cx: &Context<'_>, judgement: &Judgement) -> Inquiry {
+    let Judgement {
+        arrival,
+        copy,
+        fence,
+        ..
+    } = judgement;
+    Inquiry {
+        from: cx.view.cfg().vm.clone(),
+        version: cx.view.version(),
+        kind: arrival.handover.kind.clone(),
+        key: copy.key.clone(),
+        fingerprint: copy.fingerprint,
+        fence: fence.clone(),
+        remaining: arrival.deadline - cx.now.mono,
+    }
+}
+
+/// Returns what a vote leaves in doubt, or the outcome that it decides.
+fn verdict(seen: Seen) -> Result<Option<Unknown>> {
+    match seen {
+        Seen::Fenced => Ok(None),
+        Seen::TooYoung => Ok(Some(Unknown::WitnessRestarted)),
+        Seen::Behind => Ok(Some(Unknown::WitnessUnreachable)),
+        Seen::Done(answer) => Err(keyed::done(answer)),
+        Seen::Lost => Err(ReplyOutcome::Unknown(Unknown::TargetLost)),
+        Seen::Outranked(_) => Err(ReplyOutcome::Unknown(Unknown::Superseded)),
+        Seen::OtherRequest => Err(Refusal::new(NotRun::KeyReused).into()),
+    }
+}
+
+fn catch_up(cx: &mut Context<'_>, vote: &Vote, witness: Option<VmName>) {
+    if let Some(from) = witness {
+        cx.actions.push(RequestAction::CatchUp {
+            version: vote.version,
+            from,
+        });
+    }
+}
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -1,22 +1,35 @@
 //! The admitting node: decides what runs at its own target, and when.
 
 mod admission;
+mod arrival;
 mod check;
 mod expiry;
+mod judgement;
+mod keyed;
 mod latency;
 mod limit;
 mod outcome;
+mod task;
+mod waiter;
 mod work;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use celeryshore_model::Now;
 use celeryshore_model::Time;
+use celeryshore_model::VmName;
 
 use self::admission::Admission;
 use self::admission::Refusal;
 use self::admission::Verdict;
+use self::arrival::Arrival;
+use self::judgement::Judgement;
 use self::limit::Evidence;
+use self::task::JudgementId;
+use self::task::Task;
+use self::task::WaiterId;
+use self::waiter::Waiter;
 use self::work::Work;
 use self::work::WorkState;
 use crate::Handover;
@@ -24,6 +37,10 @@
 use crate::Phase;
 use crate::Reply;
 use crate::ReplyOutcome;
+use crate::requests::ExchangeId;
+use crate::requests::Journal;
+use crate::requests::JournalConfig;
+use crate::requests::KeyOutcome;
 use crate::requests::Outcome;
 use crate::requests::RequestAction;
 use crate::requests::WorkId;
@@ -41,27 +58,35 @@
 #[derive(Debug)]
 pub(super) struct Admitting {
     works: BTreeMap<WorkId, Work>,
-    origins: BTreeMap<Origin, WorkId>,
-    deadlines: Timers<WorkId>,
+    waiters: BTreeMap<WaiterId, Waiter>,
+    judgements: BTreeMap<JudgementId, Judgement>,
+    inquiries: BTreeMap<ExchangeId, JudgementId>,
+    origins: BTreeMap<Origin, Task>,
+    deadlines: Timers<Task>,
     latest: u64,
     admission: Admission,
+    journal: Journal<WaiterId>,
 }
 
 impl Admitting {
     /// Makes the admitting side of a process that starts now.
-    pub(super) const fn new() -> Self {
+    pub(super) fn new(vm: VmName, now: Now) -> Self {
         Self {
             works: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            judgements: BTreeMap::new(),
+            inquiries: BTreeMap::new(),
             origins: BTreeMap::new(),
             deadlines: Timers::new(),
             latest: 0,
             admission: Admission::new(),
+            journal: Journal::new(JournalConfig::new(vm), now),
         }
     }
 
-    /// Returns the number of requests that wait or run.
+    /// Returns the number of requests that wait, run or are judged.
     pub(super) fn open(&self) -> usize {
-        self.works.len()
+        self.works.len() + self.waiters.len() + self.judgements.len()
     }
 
     /// Returns the load of the target.
@@ -96,8 +121,18 @@
         origin: Origin,
         handover: Box<Handover>,
     ) {
-        match check::check(cx, &handover) {
-            Ok(()) => self.admit(cx, origin, handover),
+        let deadline = cx.now.mono + remaining(&handover);
+        let arrival = Arrival {
+            origin,
+            handover,
+            deadline,
+        };
+        if let Some(copy) = arrival::keyed_copy(cx, &arrival.handover) {
+            self.received_copy(cx, arrival, &copy);
+            return;
+        }
+        match check::check(cx, &arrival.handover) {
+            Ok(()) => self.admit(cx, arrival),
             Err(reason) => self.reply(cx, origin, Refusal::new(reason).into()),
         }
     }
@@ -107,8 +142,11 @@
         let Some(work) = self.works.remove(&id) else {
             return;
         };
-        self.deadlines.cancel(id);
+        self.deadlines.cancel(id.into());
         self.observe(cx, &work, &outcome);
+        if let Some(copy) = &work.copy {
+            self.end_key(cx, copy, outcome::key_outcome(&outcome));
+        }
         if let Some(origin) = work.origin {
             self.origins.remove(&origin);
             self.reply(cx, origin, outcome::reply_outcome(outcome));
@@ -116,14 +154,19 @@
         self.fill(cx);
     }
 
-    fn admit(&mut self, cx: &mut Context<'_>, origin: Origin, handover: Box<Handover>) {
-        let remaining = remaining(&handover);
-        let verdict = self.admission.judge(cx.now.mono, remaining);
+    /// Runs a request, lets it wait for a slot, or refuses it.
+    fn admit(&mut self, cx: &mut Context<'_>, arrival: Arrival) {
+        let verdict = self
+            .admission
+            .judge(cx.now.mono, arrival.deadline - cx.now.mono);
         if let Verdict::Refuse(refusal) = verdict {
-            self.reply(cx, origin, refusal.into());
+            self.reply(cx, arrival.origin, refusal.into());
+            if let Some(copy) = arrival::keyed_copy(cx, &arrival.handover) {
+                self.end_key(cx, &copy, KeyOutcome::NotRun);
+            }
             return;
         }
-        let id = self.add(origin, handover, cx.now.mono + remaining);
+        let id = self.add(cx, arrival);
         if verdict == Verdict::Run {
             self.run(cx, id);
         } else {
@@ -131,21 +174,26 @@
         }
     }
 
-    fn add(&mut self, origin: Origin, handover: Box<Handover>, deadline: Time) -> WorkId {
-        self.latest += 1;
-        let id = WorkId(self.latest);
-        self.origins.insert(origin, id);
-        self.deadlines.set(id, deadline);
+    fn add(&mut self, cx: &Context<'_>, arrival: Arrival) -> WorkId {
+        let id = WorkId(self.next_number());
+        self.origins.insert(arrival.origin, id.into());
+        self.deadlines.set(id.into(), arrival.deadline);
         let work = Work {
-            origin: Some(origin),
-            handover,
-            deadline,
+            origin: Some(arrival.origin),
+            copy: arrival::keyed_copy(cx, &arrival.handover),
+            handover: arrival.handover,
+            deadline: arrival.deadline,
             state: WorkState::Queued,
         };
         self.works.insert(id, work);
         id
     }
 
+    const fn next_number(&mut self) -> u64 {
+        self.latest += 1;
+        self.latest
+    }
+
     fn fill(&mut self, cx: &mut Context<'_>) {
         while let Some(id) = self.admission.next(cx.now.mono) {
             self.run(cx, id);
--- a/crates/kernel/src/requests/admitting/outcome.rs
+++ b/crates/kernel/src/requests/admitting/outcome.rs
@@ -8,6 +8,7 @@
 use crate::NotRun;
 use crate::ReplyOutcome;
 use crate::Unknown;
+use crate::requests::KeyOutcome;
 use crate::requests::Outcome;
 use crate::requests::headers;
 
@@ -24,6 +25,16 @@
     }
 }
 
+/// Translates the outcome at the target for the journal.
+pub(super) fn key_outcome(outcome: &Outcome) -> KeyOutcome {
+    match outcome {
+        Outcome::Answered(response) if headers::is_not_run(response) => KeyOutcome::NotRun,
+        Outcome::Answered(response) => KeyOutcome::Done(response.clone()),
+        Outcome::NeverSent => KeyOutcome::NotRun,
+        Outcome::Broken | Outcome::Silent => KeyOutcome::Lost,
+    }
+}
+
 fn shed(response: &HttpResponse) -> Refusal {
     Refusal {
         reason: NotRun::Overloaded,
--- a/crates/kernel/src/requests/admitting/work.rs
+++ b/crates/kernel/src/requests/admitting/work.rs
@@ -2,8 +2,8 @@
 
 use celeryshore_model::Time;
 
-use crate::Delivery;
 use crate::Handover;
+use crate::requests::KeyedCopy;
 use crate::requests::context::Origin;
 
 /// A request that waits for a slot or runs.
@@ -17,6 +17,8 @@
     pub(super) deadline: Time,
     /// Whether it waits or runs.
     pub(super) state: WorkState,
+    /// The journal's view of it, if it is named by a key.
+    pub(super) copy: Option<KeyedCopy>,
 }
 
 /// Whether a request waits for a slot or runs.
@@ -34,7 +36,7 @@
 impl Work {
     /// Tells whether it is named by a key.
     pub(super) const fn is_keyed(&self) -> bool {
-        matches!(self.handover.delivery, Delivery::Keyed { .. })
+        self.copy.is_some()
     }
 
     /// Tells whether it was given to the target.
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -39,7 +39,9 @@
                 self.deliver(cx, Loopback::Reply(exchange, reply));
             }
             RequestEvent::ExchangeFailed { exchange, progress } => {
-                self.handing.failed(cx, exchange, progress);
+                if !self.handing.failed(cx, exchange, progress) {
+                    self.admitting.inquiry_failed(cx, exchange);
+                }
             }
             RequestEvent::Finished { work, outcome } => {
                 self.admitting.finished(cx, work, outcome);
@@ -57,7 +59,7 @@
     fn receive(&mut self, cx: &mut Context<'_>, origin: Origin, request: PeerRequest) {
         match request {
             PeerRequest::Handover(handover) => self.admitting.received(cx, origin, handover),
-            PeerRequest::Inquiry(_) => {}
+            PeerRequest::Inquiry(inquiry) => self.admitting.inquired(cx, origin, inquiry),
         }
     }
 
@@ -68,7 +70,9 @@
             Loopback::Reply(exchange, PeerReply::Reply(reply)) => {
                 self.handing.replied(cx, exchange, *reply);
             }
-            Loopback::Reply(_, PeerReply::Vote(_)) => {}
+            Loopback::Reply(exchange, PeerReply::Vote(vote)) => {
+                self.admitting.voted(cx, exchange, *vote);
+            }
         }
     }
 }
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -8,6 +8,7 @@
 mod headers;
 mod journal;
 mod lifecycle;
+mod peers;
 mod rendezvous;
 mod section;
 mod timers;
@@ -99,7 +100,7 @@
         Self {
             sides: Sides {
                 handing: Handing::new(cfg.seed),
-                admitting: Admitting::new(),
+                admitting: Admitting::new(cfg.vm.clone(), now),
             },
             view: View::new(cfg),
             exchanges: 0,
@@ -178,7 +179,7 @@
     /// Brings the view up to date before an event is decided on.
     fn prepare(&mut self, now: Now, event: &RequestEvent) {
         match event {
-            RequestEvent::Configured(snapshot) => self.view.configure(snapshot.clone()),
+            RequestEvent::Configured(snapshot) => self.view.configure(now, snapshot.clone()),
             RequestEvent::Member { vm, state } => {
                 self.view.observe(vm.clone(), *state);
                 if *vm == self.view.cfg().vm && *state == MemberState::Leaving {
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -7,9 +7,12 @@
 use celeryshore_model::Kind;
 use celeryshore_model::KindId;
 use celeryshore_model::Limits;
+use celeryshore_model::Now;
+use celeryshore_model::RequestKey;
 use celeryshore_model::Service;
 use celeryshore_model::ServiceName;
 use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
 use celeryshore_model::Upstream;
 use celeryshore_model::Version;
 use celeryshore_model::VmName;
@@ -17,6 +20,7 @@
 
 use crate::MemberState;
 use crate::requests::RequestsConfig;
+use crate::requests::peers::Peers;
 
 /// What a node knows of the configuration and of the other members.
 #[derive(Debug)]
@@ -24,6 +28,7 @@
     cfg: RequestsConfig,
     router: Option<Router>,
     own: Option<Upstream>,
+    peers: Peers,
     members: BTreeMap<VmName, MemberState>,
     is_leaving: bool,
     is_closed: bool,
@@ -36,6 +41,7 @@
             cfg,
             router: None,
             own: None,
+            peers: Peers::new(),
             members: BTreeMap::new(),
             is_leaving: false,
             is_closed: false,
@@ -48,11 +54,12 @@
     }
 
     /// Puts a configuration in force, unless a newer one is.
-    pub(super) fn configure(&mut self, snapshot: Arc<Snapshot>) {
+    pub(super) fn configure(&mut self, now: Now, snapshot: Arc<Snapshot>) {
         if snapshot.version < self.version() {
             return;
         }
         self.own = snapshot.upstream_on(&self.cfg.vm).cloned();
+        self.peers.configure(now, &snapshot, self.own.as_ref());
         self.router = Some(Router::new(snapshot));
     }
 
@@ -133,6 +140,17 @@
         matches!(self.member(vm), MemberState::Alive | MemberState::Suspect)
     }
 
+    /// Tells whether every copy of a key goes first to this node.
+    pub(super) fn is_home(&self, now: Now, key: &RequestKey) -> bool {
+        let own = self.own.as_ref();
+        own.is_some_and(|own| self.peers.is_home(now, own, key))
+    }
+
+    /// Returns the other upstreams that may have run a key of this node's service.
+    pub(super) fn witnesses(&self, now: Time) -> Vec<Upstream> {
+        self.peers.witnesses(now, &self.cfg.vm)
+    }
+
     /// Returns a request kind by its service and name.
     pub(super) fn kind(&self, id: &KindId) -> Option<&Kind> {
         self.snapshot()?.kind(id)
--- a/crates/kernel/tests/common/deployment.rs
+++ b/crates/kernel/tests/common/deployment.rs
@@ -20,6 +20,7 @@
 use celeryshore_model::Snapshot;
 use celeryshore_model::Upstream;
 use celeryshore_model::VmName;
+use celeryshore_model::WallTime;
 use celeryshore_model::Zone;
 
 /// Deadline of every kind, in milliseconds.
@@ -97,6 +98,13 @@
     with(keyed(key), "celeryshore-attempt", &attempt.to_string())
 }
 
+/// Makes a key that carries its creation time.
+pub fn timed_key(created: WallTime, number: u64) -> String {
+    let millis = created.as_millis();
+    let (high, low) = (millis >> 16, millis & 0xffff);
+    format!("{high:08x}-{low:04x}-7000-8000-{number:012x}")
+}
+
 /// Adds a header field to a request.
 pub fn with(mut request: HttpRequest, name: &str, value: &str) -> HttpRequest {
     let header = Header::new(name.to_owned(), value.to_owned());
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -237,6 +237,41 @@
         self.settle();
     }
 
+    /// Delivers one of the messages that are kept back.
+    pub fn deliver(&mut self, i: usize) {
+        let (vm, event) = self.kept.remove(i);
+        let held = std::mem::take(&mut self.held);
+        let Some(node) = self.nodes.get_mut(&vm) else {
+            self.held = held;
+            return;
+        };
+        let mut actions = Vec::new();
+        node.requests.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.act(&vm, action);
+        }
+        self.held = held;
+        self.settle();
+    }
+
+    /// Loses one of the messages that are kept back; its exchange breaks.
+    pub fn lose(&mut self, i: usize) {
+        let (vm, event) = self.kept.remove(i);
+        let progress = Progress::MaybeSent;
+        match event {
+            RequestEvent::Received { inbound, .. } => {
+                if let Some((from, exchange, _)) = self.links.remove(&inbound) {
+                    self.push(&from, RequestEvent::ExchangeFailed { exchange, progress });
+                }
+            }
+            RequestEvent::Replied { exchange, .. } => {
+                self.push(&vm, RequestEvent::ExchangeFailed { exchange, progress });
+            }
+            _ => {}
+        }
+        self.settle();
+    }
+
     /// Tells whether a node reported the end of its drain.
     pub fn is_drained(&self, vm: &str) -> bool {
         self.nodes[&name(vm)].is_drained
