--- a/crates/kernel/src/requests/handing/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -150,21 +150,44 @@
     }
 }
 
-/// Returns why "not run" cannot be said of a request that was just received:
-/// its key may have run in an earlier send.
-pub(super) fn prior_doubt(request: &HttpRequest) -> Option<Unknown> {
-    let is_keyed = request.header(headers::KEY).is_some();
-    let is_first = attempt(request) == Some(FIRST);
-    (is_keyed && !is_first).then_some(Unknown::NotJudged)
+/// Whether a request may be a resend of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Resend {
+    /// It has no key, or its caller says that it is the first send.
+    No,
+    /// Its caller does not say.
+    Maybe,
+    /// Its caller says that it is one.
+    Yes,
 }
 
-fn doubt(semantics: Semantics, request: &HttpRequest) -> Option<Unknown> {
-    match semantics {
-        Semantics::Idempotent => None,
-        Semantics::AtMostOnce => prior_doubt(request),
+impl Resend {
+    /// Reads it from the header fields of a request.
+    pub(super) fn of(request: &HttpRequest) -> Self {
+        match (request.header(headers::KEY), attempt(request)) {
+            (None, _) | (Some(_), Some(FIRST)) => Self::No,
+            (Some(_), None) => Self::Maybe,
+            (Some(_), Some(_)) => Self::Yes,
+        }
+    }
+}
+
+/// Tells whether "not run" cannot be said of a request that was refused before
+/// its route was known: its key may have run in an earlier send.
+pub(super) const fn is_doubtful(reason: NotRun, resend: Resend) -> bool {
+    match resend {
+        Resend::No => false,
+        Resend::Maybe => matches!(reason, NotRun::Leaving | NotRun::Learning),
+        Resend::Yes => !matches!(reason, NotRun::BadKey),
     }
 }
 
+fn doubt(semantics: Semantics, request: &HttpRequest) -> Option<Unknown> {
+    let is_keyed = semantics == Semantics::AtMostOnce;
+    let may_have_run = is_keyed && Resend::of(request) != Resend::No;
+    may_have_run.then_some(Unknown::NotJudged)
+}
+
 fn delivery(semantics: Semantics, request: &HttpRequest) -> Result<Delivery> {
     if semantics == Semantics::Idempotent {
         return Ok(Delivery::Repeatable);
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -66,11 +66,11 @@
 
     /// Takes a caller's request.
     pub(super) fn arrived(&mut self, cx: &mut Context<'_>, id: CallId, request: HttpRequest) {
-        let doubt = call::prior_doubt(&request);
+        let resend = call::Resend::of(&request);
         match Call::route(cx, request, self.balancer.draw()) {
             Ok(call) => self.begin(cx, id, call),
-            Err(NotRun::Learning) if let Some(doubt) = doubt => {
-                self.answer(cx, id, retry::unknown_answer(doubt));
+            Err(reason) if call::is_doubtful(reason, resend) => {
+                self.answer(cx, id, retry::unknown_answer(Unknown::NotJudged));
             }
             Err(reason) => {
                 let retry_after = RETRY_AFTER;
