--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -67,6 +67,8 @@
     pub history: Vec<Run>,
     /// Answers to callers.
     pub answers: BTreeMap<CallId, Answer>,
+    /// Hand-overs between nodes so far.
+    pub handovers: usize,
     /// Inquiries sent so far.
     pub inquiries: usize,
     /// Versions that nodes asked for.
@@ -104,6 +106,7 @@
             runs: Vec::new(),
             history: Vec::new(),
             answers: BTreeMap::new(),
+            handovers: 0,
             inquiries: 0,
             catch_ups: 0,
             held: BTreeSet::new(),
@@ -234,6 +237,41 @@
         self.settle();
     }
 
+    /// Delivers one of the messages that are kept back.
+    pub fn deliver(&mut self, i: usize) {
+        let (vm, event) = self.kept.remove(i);
+        let held = std::mem::take(&mut self.held);
+        let Some(node) = self.nodes.get_mut(&vm) else {
+            self.held = held;
+            return;
+        };
+        let mut actions = Vec::new();
+        node.requests.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.act(&vm, action);
+        }
+        self.held = held;
+        self.settle();
+    }
+
+    /// Loses one of the messages that are kept back; its exchange breaks.
+    pub fn lose(&mut self, i: usize) {
+        let (vm, event) = self.kept.remove(i);
+        let progress = Progress::MaybeSent;
+        match event {
+            RequestEvent::Received { inbound, .. } => {
+                if let Some((from, exchange, _)) = self.links.remove(&inbound) {
+                    self.push(&from, RequestEvent::ExchangeFailed { exchange, progress });
+                }
+            }
+            RequestEvent::Replied { exchange, .. } => {
+                self.push(&vm, RequestEvent::ExchangeFailed { exchange, progress });
+            }
+            _ => {}
+        }
+        self.settle();
+    }
+
     /// Tells whether a node reported the end of its drain.
     pub fn is_drained(&self, vm: &str) -> bool {
         self.nodes[&name(vm)].is_drained
@@ -317,6 +355,7 @@
 
     fn transmit(&mut self, from: &VmName, exchange: ExchangeId, to: &VmName, msg: PeerRequest) {
         self.inquiries += usize::from(matches!(msg, PeerRequest::Inquiry(_)));
+        self.handovers += usize::from(matches!(msg, PeerRequest::Handover(_)));
         let is_cut = self.cut.contains(&(from.clone(), to.clone()));
         if is_cut || !self.nodes.contains_key(to) {
             let progress = Progress::NeverSent;
