Add the operators' command

Cause: operators judge, compare and explain rules, and look at nodes. A version may be given to wait without its digest. Measured: tests against small fake nodes pass (lagging, silent, garbage). Conclusion: the commands work; a real node's port was not tried yet.

--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,84 @@
+//! `check RULES`: judges a rules file.
+
+use std::io::Write;
+
+use celeryshore_model::Snapshot;
+use celeryshore_model::Version;
+use celeryshore_rules::Problem;
+use celeryshore_rules::Warning;
+use serde::Serialize;
+
+use crate::Category;
+use crate::Error;
+use crate::Exit;
+use crate::Result;
+use crate::command::Args;
+use crate::input;
+use crate::print;
+
+#[derive(Serialize)]
+struct Report<'a> {
+    accepted: bool,
+    version: Option<Version>,
+    problems: &'a [Problem],
+    warnings: &'a [Warning],
+}
+
+pub(crate) fn run(args: &Args, out: &mut dyn Write) -> Result<Exit> {
+    let [file] = args.exactly("RULES")?;
+    match input::read_rules(file) {
+        Ok(snapshot) => accept(file, &snapshot, args.json(), out),
+        Err(err) if err.classify() == Category::Rules => refuse(&err, args.json(), out),
+        Err(err) => Err(err),
+    }
+}
+
+fn accept(file: &str, snapshot: &Snapshot, json: bool, out: &mut dyn Write) -> Result<Exit> {
+    let warnings = celeryshore_rules::warnings(snapshot);
+    if json {
+        let report = Report {
+            accepted: true,
+            version: Some(snapshot.version),
+            problems: &[],
+            warnings: &warnings,
+        };
+        print::json(out, &report)?;
+        return Ok(Exit::Success);
+    }
+    for warning in &warnings {
+        writeln!(out, "{file}: warning: {warning}")?;
+    }
+    let Snapshot {
+        services,
+        upstreams,
+        routes,
+        ..
+    } = snapshot;
+    let (services, upstreams, routes) = (services.len(), upstreams.len(), routes.len());
+    let digest = snapshot.version.digest;
+    writeln!(
+        out,
+        "{file}: accepted: {services} services, {upstreams} upstreams, {routes} routes; \
+         digest {digest}"
+    )?;
+    Ok(Exit::Success)
+}
+
+fn refuse(err: &Error, json: bool, out: &mut dyn Write) -> Result<Exit> {
+    let source = std::error::Error::source(err);
+    if json {
+        let rules = source.and_then(|err| err.downcast_ref::<celeryshore_rules::Error>());
+        let report = Report {
+            accepted: false,
+            version: None,
+            problems: rules.map_or(&[], celeryshore_rules::Error::problems),
+            warnings: &[],
+        };
+        print::json(out, &report)?;
+    } else if let Some(source) = source {
+        writeln!(out, "{source}")?;
+    } else {
+        writeln!(out, "{err}")?;
+    }
+    Ok(Exit::Failure)
+}
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,175 @@
+//! The command line.
+
+use std::fmt;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use getopts::Matches;
+use getopts::Options;
+
+use crate::Category;
+use crate::Error;
+use crate::Result;
+use crate::check;
+use crate::diff;
+use crate::dump;
+use crate::explain;
+use crate::split;
+use crate::status;
+use crate::wait;
+
+const USAGE: &str = "\
+Usage: celeryshorectl COMMAND
+
+Commands on rules files:
+  check RULES                      judge a rules file
+  diff OLD NEW                     compare two rules files rule by rule
+  explain RULES METHOD HOST PATH   say where a request goes and why
+  split RULES DIR [--who NAME]     write a large file in parts, with their list
+
+Commands on nodes (NODE is the IP:PORT of a node's operators' port):
+  dump NODE [--section NAME]       print the state of a node as JSON
+  status NODE...                   print a table of nodes
+  wait --version VERSION NODE...   wait until the version is in force everywhere
+
+Options:
+  --json            output for programs
+  --timeout TIME    how long to wait, such as 500ms or 10s
+  --help            print this text
+  --version         print the version of the program
+
+Exit status: 0 success; 1 refused, lagging or failed; 2 wrong usage.
+";
+
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How a command that could be carried out ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// All is as it was asked to be.
+    Success,
+    /// The answer is no: something is refused, lags or does not answer.
+    Failure,
+}
+
+/// Options and arguments of one command.
+pub(crate) struct Args {
+    matches: Matches,
+}
+
+/// Runs the command of a command line without the program's name.
+///
+/// # Errors
+///
+/// Fails if the command line is not understood, or if a file cannot be read,
+/// a text is refused or a node gives no answer.
+///
+/// # Example
+///
+/// ```
+/// let mut out = Vec::new();
+/// celeryshore_ctl::run(&["--version".to_owned()], &mut out)?;
+/// assert!(out.starts_with(b"celeryshorectl "));
+/// # Ok::<(), celeryshore_ctl::Error>(())
+/// ```
+pub fn run(args: &[String], out: &mut dyn Write) -> Result<Exit> {
+    let (name, rest) = args.split_first().ok_or_else(|| usage("no command"))?;
+    match name.as_str() {
+        "check" => check::run(&parse(&Options::new(), rest)?, out),
+        "diff" => diff::run(&parse(&Options::new(), rest)?, out),
+        "explain" => explain::run(&parse(&Options::new(), rest)?, out),
+        "split" => split::run(&parse(&who_option(), rest)?, out),
+        "dump" => dump::run(&parse(&section_option(), rest)?, out),
+        "status" => status::run(&parse(&Options::new(), rest)?, out),
+        "wait" => wait::run(&parse(&version_option(), rest)?, out),
+        "--help" | "-h" | "help" => print(out, USAGE),
+        "--version" => print(
+            out,
+            concat!("celeryshorectl ", env!("CARGO_PKG_VERSION"), "\n"),
+        ),
+        other => Err(usage(other)),
+    }
+}
+
+fn print(out: &mut dyn Write, text: &str) -> Result<Exit> {
+    out.write_all(text.as_bytes())?;
+    Ok(Exit::Success)
+}
+
+fn who_option() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "who", "who asked for the parts", "NAME");
+    options
+}
+
+fn section_option() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "section", "one section only", "NAME");
+    options
+}
+
+fn version_option() -> Options {
+    let mut options = Options::new();
+    options.reqopt("", "version", "version to wait for", "VERSION");
+    options
+}
+
+fn parse(options: &Options, args: &[String]) -> Result<Args> {
+    let mut options = options.clone();
+    options.optflag("", "json", "output for programs");
+    options.optopt("", "timeout", "how long to wait", "TIME");
+    let matches = options.parse(args);
+    let matches = matches.map_err(|err| usage("options").because(err))?;
+    Ok(Args { matches })
+}
+
+/// Makes the error of a command line that is not understood.
+pub(crate) fn usage(found: impl fmt::Display) -> Error {
+    Error::new(
+        Category::Usage,
+        format!("{found} (see celeryshorectl --help)"),
+    )
+}
+
+impl Args {
+    /// Tells whether the output is for programs.
+    pub(crate) fn json(&self) -> bool {
+        self.matches.opt_present("json")
+    }
+
+    /// Returns the value of an option.
+    pub(crate) fn option(&self, name: &str) -> Option<String> {
+        self.matches.opt_str(name)
+    }
+
+    /// Returns how long to wait.
+    pub(crate) fn timeout(&self) -> Result<Duration> {
+        let Some(text) = self.matches.opt_str("timeout") else {
+            return Ok(DEFAULT_TIMEOUT);
+        };
+        humantime::parse_duration(&text).map_err(|err| usage(&text).because(err))
+    }
+
+    /// Returns the arguments, if there are as many as the command takes.
+    pub(crate) fn exactly<const N: usize>(&self, names: &str) -> Result<[&str; N]> {
+        let args: Vec<_> = self.matches.free.iter().map(String::as_str).collect();
+        let found = args.len();
+        args.try_into()
+            .map_err(|_| usage(format_args!("{names} expected, {found} arguments found")))
+    }
+
+    /// Returns the addresses of one or more nodes.
+    pub(crate) fn nodes(&self) -> Result<Vec<SocketAddr>> {
+        if self.matches.free.is_empty() {
+            return Err(usage("no NODE"));
+        }
+        self.matches.free.iter().map(|text| node(text)).collect()
+    }
+}
+
+/// Parses the address of a node.
+pub(crate) fn node(text: &str) -> Result<SocketAddr> {
+    let address = text.parse();
+    address.map_err(|_| usage(format_args!("{text:?} is not IP:PORT")))
+}
--- /dev/null
+++ b/crates/ctl/src/error.rs
@@ -0,0 +1,99 @@
+//! The one error of this package.
+
+use std::error::Error as StdError;
+use std::fmt;
+
+/// Result of this package's functions.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A command that could not be carried out.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_ctl::Category;
+///
+/// let err = celeryshore_ctl::run(&["chekc".to_owned()], &mut Vec::new()).unwrap_err();
+/// assert_eq!(err.classify(), Category::Usage);
+/// ```
+pub struct Error {
+    inner: Box<Inner>,
+}
+
+struct Inner {
+    category: Category,
+    subject: String,
+    source: Option<Box<dyn StdError + Send + Sync>>,
+}
+
+/// Why a command could not be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Category {
+    /// The command line is not understood.
+    #[display("wrong usage")]
+    Usage,
+    /// A file cannot be read or written.
+    #[display("no access to file")]
+    File,
+    /// A rules text was refused.
+    #[display("refused")]
+    Rules,
+    /// A node does not answer, or not as it should.
+    #[display("no answer from node")]
+    Node,
+    /// The output cannot be written.
+    #[display("no output")]
+    Output,
+}
+
+impl Error {
+    pub(crate) fn new(category: Category, subject: impl Into<String>) -> Self {
+        let inner = Inner {
+            category,
+            subject: subject.into(),
+            source: None,
+        };
+        Self {
+            inner: Box::new(inner),
+        }
+    }
+
+    pub(crate) fn because(mut self, source: impl Into<Box<dyn StdError + Send + Sync>>) -> Self {
+        self.inner.source = Some(source.into());
+        self
+    }
+
+    /// Returns why the command could not be carried out.
+    #[must_use]
+    pub fn classify(&self) -> Category {
+        self.inner.category
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Inner {
+            category, subject, ..
+        } = &*self.inner;
+        write!(f, "{category}: {subject}")
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Error({self})")
+    }
+}
+
+impl StdError for Error {
+    fn source(&self) -> Option<&(dyn StdError + 'static)> {
+        let source = self.inner.source.as_ref()?;
+        Some(&**source)
+    }
+}
+
+impl From<std::io::Error> for Error {
+    fn from(err: std::io::Error) -> Self {
+        Self::new(Category::Output, "cannot write").because(err)
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,28 @@
-//! Placeholder.
-fn main() {}
+//! The program `celeryshorectl`.
+
+use std::io;
+use std::process::ExitCode;
+
+use celeryshore_ctl::Category;
+use celeryshore_ctl::Error;
+use celeryshore_ctl::Exit;
+
+const WRONG_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let args: Vec<_> = std::env::args().skip(1).collect();
+    match celeryshore_ctl::run(&args, &mut io::stdout().lock()) {
+        Ok(Exit::Success) => ExitCode::SUCCESS,
+        Ok(Exit::Failure) => ExitCode::FAILURE,
+        Err(err) => fail(err),
+    }
+}
+
+fn fail(err: Error) -> ExitCode {
+    let code = match err.classify() {
+        Category::Usage => ExitCode::from(WRONG_USAGE),
+        _ => ExitCode::FAILURE,
+    };
+    eprintln!("celeryshorectl: {:#}", anyhow::Error::from(err));
+    code
+}
--- /dev/null
+++ b/crates/ctl/tests/nodes.rs
@@ -0,0 +1,161 @@
+//! Commands on nodes.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+
+use celeryshore_ctl::Category;
+use celeryshore_ctl::Exit;
+use celeryshore_ctl::Result;
+use celeryshore_model::Digest;
+use celeryshore_model::Epoch;
+use celeryshore_model::Index;
+use celeryshore_model::Version;
+use insta::assert_snapshot;
+
+fn run(args: &[&str]) -> (Result<Exit>, String) {
+    let args: Vec<_> = args.iter().map(|arg| (*arg).to_owned()).collect();
+    let mut out = Vec::new();
+    let exit = celeryshore_ctl::run(&args, &mut out);
+    (exit, String::from_utf8(out).unwrap())
+}
+
+/// Starts a node that gives one answer after the other, the last one for good.
+fn node(answers: Vec<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for (i, stream) in listener.incoming().enumerate() {
+            let body = &answers[i.min(answers.len() - 1)];
+            let mut stream = stream.unwrap();
+            let head_bytes = stream.read(&mut [0; 1_024]).unwrap();
+            assert!(head_bytes > 0);
+            let length = body.len();
+            write!(
+                stream,
+                "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}"
+            )
+            .unwrap();
+        }
+    });
+    address
+}
+
+/// Starts a node that takes connections and never answers.
+fn silent_node() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn version(index: u64) -> Version {
+    Version::new(Epoch(1), Index(index), Digest::of(b"rules"))
+}
+
+fn status(index: u64) -> String {
+    format!(
+        r#"{{"vm": "vm-1", "zone": "perth", "version": "{}", "index": {index},
+            "age_ms": 1500, "state": "serving", "role": "reader", "phase": "warm",
+            "in_flight": 2, "limit": 6}}"#,
+        version(index)
+    )
+}
+
+/// Replaces the address of a node, which differs from run to run.
+fn plain(text: &str, node: SocketAddr) -> String {
+    let node = node.to_string();
+    let padded = format!("{:<width$}", "NODE-ADDRESS", width = node.len());
+    text.replace(&node, &padded)
+}
+
+#[test]
+fn status_table() {
+    let node = node(vec![status(7)]);
+    let (exit, text) = run(&["status", &node.to_string()]);
+    assert_eq!(exit.unwrap(), Exit::Success);
+    assert_snapshot!(plain(&text, node), @r#"
+    NODE              VM     ZONE    VERSION        AGE        STATE     ROLE     PHASE   IN FLIGHT
+    NODE-ADDRESS      vm-1   perth   1.7.6c621d1a   1s 500ms   serving   reader   warm    2/6
+    "#);
+}
+
+#[test]
+fn status_json() {
+    let node = node(vec![status(7)]);
+    let (exit, text) = run(&["status", "--json", &node.to_string()]);
+    assert_eq!(exit.unwrap(), Exit::Success);
+    let reports: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(reports[0]["status"]["zone"], "perth");
+    assert!(reports[0]["error"].is_null());
+}
+
+#[test]
+fn silent_status() {
+    let (_listener, silent) = silent_node();
+    let answering = node(vec![status(7)]);
+    let (exit, text) = run(&[
+        "status",
+        "--timeout",
+        "200ms",
+        &silent.to_string(),
+        &answering.to_string(),
+    ]);
+    assert_eq!(exit.unwrap(), Exit::Failure);
+    assert!(text.contains("no answer in time"), "{text}");
+    assert!(text.contains("perth"), "{text}");
+}
+
+#[test]
+fn dump_section() {
+    let node = node(vec![r#"{"members": 3}"#.to_owned()]);
+    let (exit, text) = run(&["dump", "--section", "fleet", &node.to_string()]);
+    assert_eq!(exit.unwrap(), Exit::Success);
+    assert_snapshot!(text, @r#"
+    {
+      "members": 3
+    }
+    "#);
+}
+
+#[test]
+fn dump_garbage() {
+    let node = node(vec!["no json".to_owned()]);
+    let (exit, _) = run(&["dump", &node.to_string()]);
+    assert_eq!(exit.unwrap_err().classify(), Category::Node);
+}
+
+#[test]
+fn wait_reached() {
+    let late = node(vec![status(6), status(6), status(7)]);
+    let early = node(vec![status(8)]);
+    let (exit, text) = run(&[
+        "wait",
+        "--version",
+        &version(7).to_string(),
+        &late.to_string(),
+        &early.to_string(),
+    ]);
+    assert_eq!(exit.unwrap(), Exit::Success);
+    assert_snapshot!(text, @r#"in force at all 2 nodes"#);
+}
+
+#[test]
+fn wait_lagging() {
+    let late = node(vec![status(6)]);
+    let early = node(vec![status(7)]);
+    let (exit, text) = run(&[
+        "wait",
+        "--version",
+        "1.7",
+        "--timeout",
+        "300ms",
+        &late.to_string(),
+        &early.to_string(),
+    ]);
+    assert_eq!(exit.unwrap(), Exit::Failure);
+    assert!(text.starts_with("1 of 2 nodes lag:\n"), "{text}");
+    assert!(text.contains(&late.to_string()), "{text}");
+    assert!(!text.contains(&early.to_string()), "{text}");
+}
