--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -14,7 +14,7 @@
 /// use celeryshore_wire::Category;
 /// use celeryshore_wire::RequestFrame;
 ///
-/// let err = RequestFrame::decode(Bytes::from_static(b"\xff")).unwrap_err();
+/// let err = RequestFrame::decode(Bytes::from_static(b"\0\0\0\x01\xff")).unwrap_err();
 /// assert_eq!(err.classify(), Category::Syntax);
 /// ```
 pub struct Error {
