--- a/crates/kernel/src/fleet/event.rs
+++ b/crates/kernel/src/fleet/event.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celeryshore_model::Digest;
 use celeryshore_model::Index;
 use celeryshore_model::Snapshot;
 use celeryshore_model::Time;
@@ -204,12 +205,12 @@
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum Report {
     /// A version was refused whole.
-    #[display("refused version with digest {digest}: {error}")]
+    #[display("refused text {digest:?}: {error}")]
     Refused {
-        /// First digits of the digest.
-        digest: String,
+        /// Digest of the text.
+        digest: Digest,
         /// Why it was refused.
-        error: String,
+        error: celeryshore_rules::Error,
     },
     /// The platform answered with something older than what is in force.
     #[display("platform answered with older index {index}")]
--- /dev/null
+++ b/crates/kernel/src/fleet/heartbeat.rs
@@ -0,0 +1,195 @@
+//! Datagrams: what comes in and how it is answered.
+
+use std::net::SocketAddr;
+
+use celeryshore_model::Time;
+use celeryshore_model::Version;
+use celeryshore_model::VmName;
+
+use super::Fleet;
+use super::budget::TrafficKind;
+use super::event::FleetAction;
+use super::event::Report;
+use super::member::MemberState;
+use super::members::Change;
+use super::message::Datagram;
+use super::message::DatagramBody;
+use super::message::Sender;
+use super::message::Sequence;
+use super::message::Update;
+use super::stage::StageKind;
+
+impl Fleet {
+    pub(super) fn on_datagram(&mut self, from: SocketAddr, datagram: &Datagram, now: Time) {
+        let sender = &datagram.sender;
+        if sender.vm == self.cfg.vm {
+            return;
+        }
+        if let Some(age) = sender.view_age {
+            self.view.hear(age, now);
+        }
+        self.members.hear(sender, now);
+        for update in &datagram.updates {
+            self.on_update(update, now);
+        }
+        self.on_version(sender, now);
+        self.on_body(from, datagram, now);
+    }
+
+    fn on_version(&mut self, sender: &Sender, now: Time) {
+        let mut version = sender.version;
+        if self.configuration.is_refused(&version.digest) {
+            version = Version::default();
+        }
+        let held = self.version();
+        self.puller
+            .offer(&sender.vm, sender.control, version, held, now);
+        if self.stage() == StageKind::Learning {
+            self.stage.hear(&sender.vm, version, now);
+        }
+    }
+
+    fn on_body(&mut self, from: SocketAddr, datagram: &Datagram, now: Time) {
+        let sender = &datagram.sender;
+        match &datagram.body {
+            DatagramBody::Ping(sequence) => {
+                self.send(from, Some(&sender.vm), DatagramBody::Ack(*sequence), now);
+            }
+            DatagramBody::Ack(sequence) => self.on_ack(*sequence, sender, now),
+            DatagramBody::PingRequest {
+                sequence,
+                target,
+                peer,
+            } => {
+                let own = self.prober.relay(from, *sequence, now);
+                self.send(*peer, Some(target), DatagramBody::Ping(own), now);
+            }
+            DatagramBody::Announce => {}
+        }
+    }
+
+    fn on_ack(&mut self, sequence: Sequence, sender: &Sender, now: Time) {
+        if let Some(relay) = self.prober.take_relay(sequence) {
+            self.send(relay.to, None, DatagramBody::Ack(relay.sequence), now);
+        } else if self.prober.acknowledge(sequence).is_some() {
+            self.stage.hear(&sender.vm, sender.version, now);
+        }
+    }
+
+    fn on_update(&mut self, update: &Update, now: Time) {
+        if update.vm == self.cfg.vm {
+            self.on_own_update(update, now);
+        } else {
+            self.members.apply(update, now);
+        }
+    }
+
+    /// Refutes what others wrongly tell of this node.
+    fn on_own_update(&mut self, update: &Update, now: Time) {
+        let about_this_life = update.incarnation == self.cfg.incarnation;
+        if !about_this_life || update.refutation < self.own.refutation {
+            return;
+        }
+        match update.state {
+            MemberState::Suspect | MemberState::Dead => {
+                self.own.refutation = update.refutation;
+                self.restate(now);
+            }
+            MemberState::Leaving if !self.own.leaving => self.drain(now),
+            MemberState::Alive | MemberState::Leaving => {}
+        }
+    }
+
+    /// Makes a new statement of this node and tells it.
+    pub(super) fn restate(&mut self, now: Time) {
+        self.own.refutation.0 += 1;
+        let state = if self.own.leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
+        };
+        self.own.unwell = self.reader.is_unwell(now);
+        self.gossip.push(Update {
+            vm: self.cfg.vm.clone(),
+            incarnation: self.cfg.incarnation,
+            refutation: self.own.refutation,
+            state,
+            unwell: self.own.unwell,
+        });
+    }
+
+    pub(super) fn drain(&mut self, now: Time) {
+        self.own.leaving = true;
+        self.restate(now);
+        self.out.push(FleetAction::Member {
+            vm: self.cfg.vm.clone(),
+            state: MemberState::Leaving,
+        });
+    }
+
+    /// Sends a datagram if the limit of control bytes allows it.
+    pub(super) fn send(
+        &mut self,
+        to: SocketAddr,
+        vm: Option<&VmName>,
+        body: DatagramBody,
+        now: Time,
+    ) {
+        let kind = match body {
+            DatagramBody::Announce => TrafficKind::Announce,
+            _ => TrafficKind::Heartbeat,
+        };
+        let mut datagram = Box::new(Datagram {
+            sender: self.sender(now),
+            body,
+            updates: Vec::new(),
+        });
+        datagram
+            .updates
+            .extend(vm.and_then(|vm| self.doubt(vm, now)));
+        self.gossip.fill(&mut datagram, self.members.len());
+        if self.traffic.take(kind, datagram.size_bound(), now).is_ok() {
+            self.out.push(FleetAction::Send { to, datagram });
+        }
+    }
+
+    /// Returns the suspicion against a member, which it should hear to refute it.
+    fn doubt(&self, vm: &VmName, now: Time) -> Option<Update> {
+        let member = self.members.get(vm)?;
+        (!member.is_alive()).then(|| member.update(vm, now))
+    }
+
+    fn sender(&self, now: Time) -> Sender {
+        Sender {
+            vm: self.cfg.vm.clone(),
+            zone: self.cfg.zone.clone(),
+            incarnation: self.cfg.incarnation,
+            refutation: self.own.refutation,
+            control: self.cfg.control,
+            version: self.version(),
+            view_age: self.view.age(now),
+            leaving: self.own.leaving,
+            unwell: self.own.unwell,
+        }
+    }
+
+    /// Tells changes of members to the driver and to other nodes.
+    pub(super) fn carry_changes(&mut self, now: Time) {
+        for change in self.members.take_changes() {
+            let action = match change {
+                Change::State { vm, state } => FleetAction::Member { vm, state },
+                Change::ZoneLost(zone) => FleetAction::Report(Report::ZoneLost { zone }),
+                Change::ZoneHealed(zone) => FleetAction::Report(Report::ZoneHealed { zone }),
+                Change::Check(vm) => {
+                    self.ping(&vm, now);
+                    continue;
+                }
+                Change::News(update) => {
+                    self.gossip.push(update);
+                    continue;
+                }
+            };
+            self.out.push(action);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/fleet/history.rs
@@ -0,0 +1,62 @@
+//! The last deltas that led to the configuration in force.
+
+use std::collections::VecDeque;
+
+use celeryshore_model::Version;
+
+use super::prepare::Chain;
+use super::pull::DeltaStep;
+
+const MAX_STEPS: usize = 64;
+const MAX_BYTES: usize = 512 * 1_024;
+
+/// Ring of the last deltas, oldest first.
+#[derive(Debug, Default)]
+pub struct History {
+    from: Version,
+    steps: VecDeque<DeltaStep>,
+    bytes: usize,
+}
+
+impl History {
+    /// Adds a chain that leads from `base`; forgets all if the chain does not.
+    pub fn extend(&mut self, base: Version, chain: Option<Chain>) {
+        let Some(chain) = chain.filter(|c| c.from == base) else {
+            *self = Self::default();
+            return;
+        };
+        if self.steps.back().map(|s| s.version) != Some(base) {
+            *self = Self::default();
+            self.from = base;
+        }
+        self.bytes += chain.steps.iter().map(|s| s.delta.len()).sum::<usize>();
+        self.steps.extend(chain.steps);
+        while self.steps.len() > MAX_STEPS || self.bytes > MAX_BYTES {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(step) = self.steps.pop_front() {
+            self.bytes -= step.delta.len();
+            self.from = step.version;
+        }
+    }
+
+    /// Returns the deltas that lead on from `base`.
+    pub fn since(&self, base: Version) -> Option<Vec<DeltaStep>> {
+        if self.steps.is_empty() {
+            return None;
+        }
+        if base == self.from {
+            return Some(self.steps.iter().cloned().collect());
+        }
+        let at = self.steps.iter().position(|s| s.version == base)?;
+        Some(self.steps.iter().skip(at + 1).cloned().collect())
+    }
+
+    /// Returns the number of deltas.
+    pub fn len(&self) -> usize {
+        self.steps.len()
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/fleet/members.rs
@@ -0,0 +1,312 @@
+//! All members of the fleet: listed by the configuration, overlaid by liveness.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
+use celeryshore_model::VmName;
+use celeryshore_model::ZoneName;
+
+use super::member::Liveness;
+use super::member::Member;
+use super::member::MemberState;
+use super::message::Sender;
+use super::message::Update;
+use super::zone::ZoneView;
+
+/// Time to refute a suspicion in a fleet of less than a hundred members.
+///
+/// A suspect takes no new work already, so a long time costs little.
+const SUSPICION: Duration = Duration::from_secs(5);
+
+/// Time to answer the last heartbeat before a suspect counts as dead.
+const LAST_CHECK: Duration = Duration::from_secs(1);
+
+/// Time that the platform's list may lag behind the start of a VM.
+const LIST_LAG: Duration = Duration::from_secs(30);
+
+/// A change that the rest of the node has to know of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Another state of a member.
+    State {
+        /// VM of the member.
+        vm: VmName,
+        /// Its state.
+        state: MemberState,
+    },
+    /// News worth telling other nodes.
+    News(Update),
+    /// A suspect should be pinged before it counts as dead.
+    Check(VmName),
+    /// Most members of a zone were lost at once.
+    ZoneLost(ZoneName),
+    /// A lost zone answers again.
+    ZoneHealed(ZoneName),
+}
+
+/// All members but this node.
+#[derive(Debug)]
+pub struct Members {
+    own: VmName,
+    rng: fastrand::Rng,
+    map: BTreeMap<VmName, Member>,
+    zones: BTreeMap<ZoneName, ZoneView>,
+    deadlines: BTreeSet<(Time, VmName)>,
+    changes: Vec<Change>,
+}
+
+impl Members {
+    /// Makes an empty list at the node on `own`.
+    pub fn new(own: VmName, seed: u64) -> Self {
+        Self {
+            own,
+            rng: fastrand::Rng::with_seed(seed),
+            map: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Returns the member on a VM.
+    pub fn get(&self, vm: &VmName) -> Option<&Member> {
+        self.map.get(vm)
+    }
+
+    /// Returns all members in the order of their VMs.
+    pub fn iter(&self) -> impl Iterator<Item = (&VmName, &Member)> {
+        self.map.iter()
+    }
+
+    /// Returns the number of members.
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    /// Returns the zones that were lost at once.
+    pub fn lost_zones(&self) -> impl Iterator<Item = &ZoneName> {
+        let lost = self.zones.iter().filter(|(_, view)| view.is_lost());
+        lost.map(|(zone, _)| zone)
+    }
+
+    /// Returns whether most of a zone was lost at once.
+    pub fn is_zone_lost(&self, zone: &ZoneName) -> bool {
+        self.zones.get(zone).is_some_and(ZoneView::is_lost)
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Takes the members that a configuration lists; says whether any came or went.
+    pub fn sync(&mut self, snapshot: &Snapshot, now: Time) -> bool {
+        let mut old = std::mem::take(&mut self.map);
+        let mut changed = false;
+        for upstream in snapshot.upstreams.values() {
+            if upstream.vm == self.own {
+                continue;
+            }
+            let known = old
+                .remove(&upstream.vm)
+                .filter(|m| m.peer == upstream.peer && m.zone == upstream.zone);
+            changed |= known.is_none();
+            let mut member = known.unwrap_or_else(|| Member::new(upstream, now));
+            member.control = upstream.control;
+            self.map.insert(upstream.vm.clone(), member);
+        }
+        changed |= !old.is_empty();
+        self.count_zones();
+        changed
+    }
+
+    fn count_zones(&mut self) {
+        let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+        for member in self.map.values() {
+            *counts.entry(member.zone.clone()).or_default() += 1;
+        }
+        self.zones.retain(|zone, _| counts.contains_key(zone));
+        for (zone, members) in counts {
+            self.zones.entry(zone).or_default().members = members;
+        }
+    }
+
+    /// Takes what a member said of itself.
+    pub fn hear(&mut self, sender: &Sender, now: Time) {
+        let Some(member) = self.map.get_mut(&sender.vm) else {
+            return;
+        };
+        let before = member.state();
+        member.hear(sender, now);
+        let zone = member.zone.clone();
+        self.report(&sender.vm, before, now);
+        let view = self.zones.get_mut(&zone);
+        if view.is_some_and(|v| v.hear(&sender.vm, now)) {
+            self.heal(&zone, now);
+        }
+    }
+
+    /// Looks afresh at the members of a zone that answers again.
+    fn heal(&mut self, zone: &ZoneName, now: Time) {
+        let suspects: Vec<_> = self
+            .map
+            .iter()
+            .filter(|(_, m)| &m.zone == zone && matches!(m.liveness, Liveness::Suspect { .. }))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        self.changes.push(Change::ZoneHealed(zone.clone()));
+        for vm in suspects {
+            self.set(&vm, Liveness::Alive, now);
+        }
+    }
+
+    /// Takes news of a member from another.
+    pub fn apply(&mut self, update: &Update, now: Time) {
+        let suspicion = self.suspicion();
+        let Some(member) = self.map.get_mut(&update.vm) else {
+            return;
+        };
+        let before = member.state();
+        let suspected = matches!(member.liveness, Liveness::Suspect { .. });
+        if !member.apply(update, suspicion, now) {
+            return;
+        }
+        let news = member.update(&update.vm, now);
+        let begins = !suspected && matches!(member.liveness, Liveness::Suspect { .. });
+        self.changes.push(Change::News(news));
+        self.report_state(&update.vm, before);
+        if begins {
+            self.begin_suspicion(&update.vm, now);
+        }
+    }
+
+    /// Suspects a member that missed a heartbeat.
+    pub fn suspect(&mut self, vm: &VmName, now: Time) {
+        let deadline = now + self.suspicion();
+        if self.map.get(vm).is_some_and(Member::is_alive) {
+            let checked = false;
+            self.set(vm, Liveness::Suspect { deadline, checked }, now);
+            self.begin_suspicion(vm, now);
+        }
+    }
+
+    fn begin_suspicion(&mut self, vm: &VmName, now: Time) {
+        let Some(member) = self.map.get(vm) else {
+            return;
+        };
+        if let Liveness::Suspect { deadline, .. } = member.liveness {
+            self.deadlines.insert((deadline, vm.clone()));
+        }
+        let zone = member.zone.clone();
+        let view = self.zones.get_mut(&zone);
+        if view.is_some_and(|v| v.suspect(vm, now)) {
+            self.changes.push(Change::ZoneLost(zone));
+        }
+    }
+
+    /// Marks a member that the platform's list names as leaving.
+    pub fn mark_leaving(&mut self, vm: &VmName, now: Time) {
+        let Some(member) = self.map.get_mut(vm) else {
+            return;
+        };
+        if member.leaving || now - member.since < LIST_LAG {
+            return;
+        }
+        let before = member.state();
+        member.leaving = true;
+        self.report(vm, before, now);
+    }
+
+    /// Ends suspicions that were not refuted in time.
+    pub fn expire(&mut self, now: Time) {
+        while let Some((due, vm)) = self.deadlines.pop_first() {
+            if due > now {
+                self.deadlines.insert((due, vm));
+                return;
+            }
+            self.expire_one(due, &vm, now);
+        }
+    }
+
+    fn expire_one(&mut self, due: Time, vm: &VmName, now: Time) {
+        let Some(member) = self.map.get_mut(vm) else {
+            return;
+        };
+        let Liveness::Suspect { deadline, checked } = member.liveness else {
+            return;
+        };
+        if deadline != due {
+            return;
+        }
+        let lost = self.zones.get(&member.zone).is_some_and(ZoneView::is_lost);
+        if checked && !lost {
+            self.set(vm, Liveness::Dead, now);
+            return;
+        }
+        let deadline = now + LAST_CHECK;
+        let checked = !lost;
+        member.liveness = Liveness::Suspect { deadline, checked };
+        self.deadlines.insert((deadline, vm.clone()));
+        if checked {
+            self.changes.push(Change::Check(vm.clone()));
+        }
+    }
+
+    /// Forgets suspicions that a freeze of this node may have caused.
+    pub fn reset(&mut self, now: Time) {
+        self.deadlines.clear();
+        self.zones.values_mut().for_each(ZoneView::reset);
+        let suspects: Vec<_> = self
+            .map
+            .iter()
+            .filter(|(_, m)| matches!(m.liveness, Liveness::Suspect { .. }))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in suspects {
+            self.set(&vm, Liveness::Alive, now);
+        }
+    }
+
+    fn set(&mut self, vm: &VmName, liveness: Liveness, now: Time) {
+        if let Some(member) = self.map.get_mut(vm) {
+            let before = member.state();
+            member.liveness = liveness;
+            self.report(vm, before, now);
+        }
+    }
+
+    fn report(&mut self, vm: &VmName, before: MemberState, now: Time) {
+        let Some(member) = self.map.get(vm) else {
+            return;
+        };
+        if member.state() != before {
+            self.changes.push(Change::News(member.update(vm, now)));
+            self.report_state(vm, before);
+        }
+    }
+
+    fn report_state(&mut self, vm: &VmName, before: MemberState) {
+        let state = self.map.get(vm).map(Member::state);
+        if let Some(state) = state.filter(|s| *s != before) {
+            let vm = vm.clone();
+            self.changes.push(Change::State { vm, state });
+        }
+    }
+
+    /// Returns how long a member may refute; news takes longer in a large fleet.
+    ///
+    /// Nodes wait for unequal times, so that the first check spares the others.
+    fn suspicion(&mut self) -> Duration {
+        let digits = self.map.len().max(1).ilog10().max(1);
+        let scale = f64::from(digits + 1) / 2.0 + self.rng.f64() / 4.0;
+        SUSPICION.mul_f64(scale)
+    }
+
+    /// Returns when the next suspicion ends.
+    pub fn due(&self) -> Option<Time> {
+        self.deadlines.first().map(|(due, _)| *due)
+    }
+}
--- a/crates/kernel/src/fleet/mod.rs
+++ b/crates/kernel/src/fleet/mod.rs
@@ -1,19 +1,44 @@
 //! Decisions about membership and configuration.
 
+mod backoff;
+mod budget;
+mod config;
+mod configuration;
 mod event;
+mod gossip;
+mod health;
+mod heartbeat;
+mod history;
+mod member;
+mod members;
 mod message;
 mod prepare;
+mod prober;
 mod pull;
+mod puller;
+mod read;
+mod reader;
+mod rendezvous;
+mod round;
+mod serve;
+mod source;
+mod spread;
+mod stage;
+mod status;
+mod view;
+mod zone;
 
-use std::net::SocketAddr;
-
-use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
+use celeryshore_model::Version;
 use celeryshore_model::VmName;
-use celeryshore_model::ZoneName;
-use derive_more::Display;
-use serde::Serialize;
 
+use self::budget::Traffic;
+pub use self::budget::TrafficCount;
+pub use self::budget::TrafficKind;
+pub use self::config::FleetConfig;
+use self::configuration::Configuration;
 pub use self::event::FleetAction;
 pub use self::event::FleetEvent;
 pub use self::event::InboundPullId;
@@ -23,6 +48,9 @@
 pub use self::event::ReadId;
 pub use self::event::ReadQuery;
 pub use self::event::Report;
+use self::gossip::Gossip;
+pub use self::member::MemberState;
+use self::members::Members;
 pub use self::message::Datagram;
 pub use self::message::DatagramBody;
 pub use self::message::MAX_DATAGRAM_BYTES;
@@ -33,73 +61,166 @@
 pub use self::prepare::Base;
 pub use self::prepare::Candidate;
 pub use self::prepare::Chain;
+pub use self::prepare::Origin;
 pub use self::prepare::Prepare;
 pub use self::prepare::Prepared;
+use self::prober::Prober;
 pub use self::pull::DeltaStep;
+pub use self::pull::Helper;
 pub use self::pull::PullReply;
 pub use self::pull::PullRequest;
+use self::puller::Puller;
+use self::reader::Reader;
+use self::stage::Learning;
+use self::stage::Stage;
+pub use self::stage::StageKind;
+pub use self::status::FleetStatus;
+use self::view::View;
 
-/// State of a member of the fleet, as this node sees it.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum MemberState {
-    /// It answers heartbeats, or nothing speaks against it.
-    #[default]
-    #[display("alive")]
-    Alive,
-    /// It missed heartbeats and may refute.
-    #[display("suspect")]
-    Suspect,
-    /// It did not refute in time.
-    #[display("dead")]
-    Dead,
-    /// It says, or the platform's list says, that it is leaving.
-    #[display("leaving")]
-    Leaving,
-}
-
-/// What a node knows of itself and its surroundings when it starts.
-#[derive(Clone, Debug)]
-pub struct FleetConfig {
-    /// VM that the node runs on.
-    pub vm: VmName,
-    /// Availability zone of the VM.
-    pub zone: ZoneName,
-    /// Life of this process; a later life must have a greater number.
-    pub incarnation: Incarnation,
-    /// Where the node takes heartbeats.
-    pub peer: SocketAddr,
-    /// Where the node serves its configuration.
-    pub control: SocketAddr,
-    /// Where other nodes take heartbeats, to begin with.
-    pub seeds: Vec<SocketAddr>,
-    /// Whether the platform may be read.
-    pub source: bool,
-    /// Seed of all random choices.
-    pub seed: u64,
+/// What this node says of itself.
+#[derive(Debug, Default)]
+struct Statement {
+    refutation: Refutation,
+    leaving: bool,
+    unwell: bool,
 }
 
 /// Decides about membership and configuration.
 #[derive(Debug)]
 pub struct Fleet {
     cfg: FleetConfig,
+    rng: fastrand::Rng,
+    stage: Stage,
+    configuration: Configuration,
+    packing: bool,
+    members: Members,
+    own: Statement,
+    gossip: Gossip,
+    prober: Prober,
+    puller: Puller,
+    reader: Reader,
+    reads: bool,
+    /// VMs of this node's zone in rendezvous order, this node included.
+    reader_order: Vec<VmName>,
+    view: View,
+    traffic: Traffic,
+    observed: Now,
+    wake: Option<Time>,
+    out: Vec<FleetAction>,
 }
 
 impl Fleet {
     /// Makes the decisions of a process that starts now and knows nothing.
     #[must_use]
     pub fn new(cfg: FleetConfig, now: Now) -> Self {
-        let _ = now;
-        Self { cfg }
+        let mut rng = fastrand::Rng::with_seed(cfg.seed);
+        let first_round = now.mono + prober::PERIOD.mul_f64(rng.f64() / 5.0);
+        Self {
+            stage: Learning::new(cfg.seeds.len()).into(),
+            rng,
+            configuration: Configuration::default(),
+            packing: false,
+            members: Members::new(cfg.vm.clone(), cfg.seed),
+            own: Statement::default(),
+            gossip: Gossip::default(),
+            prober: Prober::new(first_round),
+            puller: Puller::default(),
+            reader: Reader::new(),
+            reads: false,
+            reader_order: Vec::new(),
+            view: View::default(),
+            traffic: Traffic::new(now.mono),
+            observed: now,
+            wake: None,
+            out: Vec::new(),
+            cfg,
+        }
     }
 
     /// Takes one event and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Now, event: FleetEvent, actions: &mut Vec<FleetAction>) {
-        let _ = (now, event, actions, &self.cfg);
+        self.observe(now, actions);
+        let now = now.mono;
+        self.dispatch(event, now);
+        self.carry_changes(now);
+        self.advance_stage(now);
+        self.start_pull(now);
+        self.ask_to_wake(now);
+        actions.append(&mut self.out);
+    }
+
+    fn dispatch(&mut self, event: FleetEvent, now: Time) {
+        match event {
+            FleetEvent::Received { from, datagram } => self.on_datagram(from, &datagram, now),
+            FleetEvent::PullReceived { inbound, request } => self.serve(inbound, &request, now),
+            FleetEvent::Pulled { pull, reply } => self.on_pulled(pull, reply, now),
+            FleetEvent::PullFailed { pull } => self.on_pull_failed(pull, now),
+            FleetEvent::Read { read, answer } => self.on_read(read, answer, now),
+            FleetEvent::ReadFailed { read, failure } => self.on_read_failed(read, failure, now),
+            FleetEvent::Prepared(prepared) => self.on_prepared(*prepared, now),
+            FleetEvent::CatchUp { version, from } => self.catch_up(version, &from, now),
+            FleetEvent::Tick => self.tick(now),
+            FleetEvent::Drain => self.drain(now),
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.run_round(now);
+        self.run_timeouts(now);
+        self.members.expire(now);
+        self.run_reader(now);
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.configuration.held().map(|h| h.snapshot.as_ref())
+    }
+
+    /// Returns the version in force, or the default if there is none.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.configuration.version()
+    }
+
+    /// Returns the stage of the node's life.
+    #[must_use]
+    pub const fn stage(&self) -> StageKind {
+        self.stage.kind()
+    }
+
+    /// Returns the state of a member, as this node sees it.
+    #[must_use]
+    pub fn member_state(&self, vm: &VmName) -> Option<MemberState> {
+        self.members.get(vm).map(member::Member::state)
+    }
+
+    /// Returns what was sent for control.
+    #[must_use]
+    pub fn traffic(&self, kind: TrafficKind) -> TrafficCount {
+        self.traffic.count(kind)
+    }
+
+    /// Returns whether this node is one of the readers of its zone.
+    #[must_use]
+    pub const fn is_reader(&self) -> bool {
+        self.reads
     }
 
-    /// Notes the clocks at every event of the process, to notice a freeze.
-    pub fn observe(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
-        let _ = (now, actions, &self.cfg);
+    fn ask_to_wake(&mut self, now: Time) {
+        let due = [
+            Some(self.prober.due()),
+            self.members.due(),
+            self.puller.due(),
+            self.reader.due(),
+        ];
+        let Some(due) = due.into_iter().flatten().min() else {
+            return;
+        };
+        let due = due.max(now);
+        if self.wake.is_none_or(|wake| wake <= now || due < wake) {
+            self.wake = Some(due);
+            self.out.push(FleetAction::WakeAt(due));
+        }
     }
 }
--- a/crates/kernel/src/fleet/prepare.rs
+++ b/crates/kernel/src/fleet/prepare.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use celeryshore_model::Digest;
 use celeryshore_model::Index;
 use celeryshore_model::Snapshot;
 use celeryshore_model::Version;
+use celeryshore_rules::Delta;
+use celeryshore_rules::Manifest;
 
 use super::pull::DeltaStep;
 
@@ -57,7 +60,12 @@
 #[derive(Clone, Debug)]
 pub enum Prepared {
     /// A configuration that may come into force.
-    Ready(Candidate),
+    Ready {
+        /// Where it came from.
+        origin: Origin,
+        /// The configuration.
+        candidate: Candidate,
+    },
     /// The value is a manifest: its parts must be read first.
     NeedParts {
         /// Index of the manifest.
@@ -69,13 +77,15 @@
     },
     /// The text was judged bad.
     Refused {
-        /// Version of the text, with the default epoch if it has none.
-        version: Version,
+        /// Where it came from.
+        origin: Origin,
+        /// Digest of the text.
+        digest: Digest,
         /// Why it was refused.
-        error: String,
+        error: celeryshore_rules::Error,
     },
     /// What was received does not prove equal to its digest.
-    Unproven,
+    Unproven(Origin),
     /// The packed configuration.
     Packed {
         /// Version of the configuration.
@@ -85,6 +95,15 @@
     },
 }
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The platform.
+    Source,
+    /// Another node.
+    Peer,
+}
+
 /// A configuration that was proven and judged good.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -106,3 +125,135 @@
     /// The deltas, oldest first.
     pub steps: Vec<DeltaStep>,
 }
+
+impl Prepare {
+    /// Does the work. Depends on nothing but what was received.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::Prepare;
+    /// use celeryshore_kernel::Prepared;
+    /// use celeryshore_model::Index;
+    ///
+    /// let work = Prepare::Read {
+    ///     base: None,
+    ///     index: Index(7),
+    ///     value: b"epoch 1  # operations\nzone glasgow region=scotland  # operations\n"[..].into(),
+    ///     parts: Vec::new(),
+    /// };
+    /// assert!(matches!(work.run(), Prepared::Ready { .. }));
+    /// ```
+    #[must_use]
+    pub fn run(self) -> Prepared {
+        match self {
+            Self::Read {
+                base,
+                index,
+                value,
+                parts,
+            } => run_read(base.as_ref(), index, value, &parts),
+            Self::Deltas { base, steps } => run_deltas(&base, steps),
+            Self::Snapshot { version, packed } => run_snapshot(version, packed),
+            Self::Pack(base) => Prepared::Packed {
+                version: base.version,
+                packed: celeryshore_rules::pack(&base.text),
+            },
+        }
+    }
+}
+
+fn run_read(base: Option<&Base>, index: Index, value: Bytes, parts: &[Bytes]) -> Prepared {
+    let text = match Manifest::from_slice(&value) {
+        None => value,
+        Some(Err(error)) => return refuse(Origin::Source, &value, error),
+        Some(Ok(manifest)) if parts.is_empty() => {
+            let keys = manifest.parts().iter().map(|p| p.key.clone()).collect();
+            return Prepared::NeedParts {
+                index,
+                manifest: value,
+                keys,
+            };
+        }
+        Some(Ok(manifest)) => match manifest.join(parts) {
+            Ok(text) => text,
+            Err(_) => return Prepared::Unproven(Origin::Source),
+        },
+    };
+    match celeryshore_rules::from_slice(&text, index) {
+        Err(error) => refuse(Origin::Source, &text, error),
+        Ok(snapshot) => {
+            let steps = base.map(|base| delta(base, &text, snapshot.version));
+            ready(Origin::Source, text, snapshot, steps, None)
+        }
+    }
+}
+
+fn delta(base: &Base, text: &Bytes, version: Version) -> Chain {
+    let delta = Delta::between(&base.text, text).to_vec().into();
+    Chain {
+        from: base.version,
+        steps: vec![DeltaStep { version, delta }],
+    }
+}
+
+fn run_deltas(base: &Base, steps: Vec<DeltaStep>) -> Prepared {
+    let Some(version) = steps.last().map(|s| s.version) else {
+        return Prepared::Unproven(Origin::Peer);
+    };
+    let applied = steps.iter().try_fold(base.text.clone(), |text, step| {
+        Delta::from_slice(&step.delta)?.apply(&text)
+    });
+    let chain = Chain {
+        from: base.version,
+        steps,
+    };
+    match applied {
+        Ok(text) => prove(version, text, Some(chain), None),
+        Err(_) => Prepared::Unproven(Origin::Peer),
+    }
+}
+
+fn run_snapshot(version: Version, packed: Bytes) -> Prepared {
+    match celeryshore_rules::unpack(&packed) {
+        Ok(text) => prove(version, text, None, Some(packed)),
+        Err(_) => Prepared::Unproven(Origin::Peer),
+    }
+}
+
+/// Proves that a text is the one that a version names, and judges it.
+fn prove(version: Version, text: Bytes, chain: Option<Chain>, packed: Option<Bytes>) -> Prepared {
+    if Digest::of(&text) != version.digest {
+        return Prepared::Unproven(Origin::Peer);
+    }
+    match celeryshore_rules::from_slice(&text, version.index) {
+        Err(error) => refuse(Origin::Peer, &text, error),
+        Ok(snapshot) if snapshot.version != version => Prepared::Unproven(Origin::Peer),
+        Ok(snapshot) => ready(Origin::Peer, text, snapshot, chain, packed),
+    }
+}
+
+fn refuse(origin: Origin, text: &Bytes, error: celeryshore_rules::Error) -> Prepared {
+    Prepared::Refused {
+        origin,
+        digest: Digest::of(text),
+        error,
+    }
+}
+
+fn ready(
+    origin: Origin,
+    text: Bytes,
+    snapshot: Snapshot,
+    steps: Option<Chain>,
+    packed: Option<Bytes>,
+) -> Prepared {
+    let version = snapshot.version;
+    let candidate = Candidate {
+        text: Base { version, text },
+        snapshot: Arc::new(snapshot),
+        steps,
+        packed,
+    };
+    Prepared::Ready { origin, candidate }
+}
--- a/crates/kernel/src/fleet/pull.rs
+++ b/crates/kernel/src/fleet/pull.rs
@@ -1,9 +1,11 @@
 //! Messages of a pull: a node that is behind fetches a newer configuration.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use celeryshore_model::Version;
+use celeryshore_model::VmName;
 
 /// Request of a node that is behind.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,10 +31,12 @@
         /// The packed rules text.
         packed: Bytes,
     },
-    /// The helper has served too many bytes.
+    /// The helper has served too many bytes for now.
     Busy {
         /// When to come back.
         retry_after: Duration,
+        /// Other nodes that may hold the same version.
+        others: Vec<Helper>,
     },
 }
 
@@ -56,3 +60,12 @@
     /// The encoded delta.
     pub delta: Bytes,
 }
+
+/// A node that may serve its configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Helper {
+    /// VM of the node.
+    pub vm: VmName,
+    /// Where it serves its configuration.
+    pub control: SocketAddr,
+}
--- /dev/null
+++ b/crates/kernel/src/fleet/round.rs
@@ -0,0 +1,236 @@
+//! Rounds of heartbeats, missing answers, and freezes of the process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celeryshore_model::Now;
+use celeryshore_model::Time;
+use celeryshore_model::VmName;
+
+use super::Fleet;
+use super::event::FleetAction;
+use super::event::Report;
+use super::member::Member;
+use super::member::MemberState;
+use super::message::DatagramBody;
+use super::message::Sequence;
+use super::prober::Missing;
+use super::stage::StageKind;
+
+/// Every so many rounds a member of another zone is pinged as well.
+const ELSEWHERE_ROUNDS: u64 = 4;
+
+/// Every so many rounds a member of a lost zone is pinged as well.
+const LOST_ZONE_ROUNDS: u64 = 2;
+
+/// Every so many rounds a seed is pinged as well.
+const SEED_ROUNDS: u64 = 16;
+
+/// Pings of each dead member in one round of the whole fleet.
+const DEAD_PINGS: usize = 2;
+
+/// Helpers that are asked to ping a member that did not answer.
+const HELPERS: usize = 2;
+
+/// Peers that a node asks while it learns, or after a freeze.
+const ASKED_PEERS: usize = 5;
+
+/// Jump of a clock between two events that tells a freeze.
+const FREEZE: Duration = Duration::from_secs(2);
+
+impl Fleet {
+    pub(super) fn run_round(&mut self, now: Time) {
+        let Some(round) = self.prober.begin_round(now) else {
+            return;
+        };
+        if self.stage() != StageKind::Fresh {
+            self.ask_around(now);
+        }
+        if let Some(vm) = self.prober.next_in_zone(&mut self.rng) {
+            self.ping(&vm, now);
+        }
+        for vm in self.prober.followed(&self.members) {
+            self.ping(&vm, now);
+        }
+        if round.is_multiple_of(ELSEWHERE_ROUNDS)
+            && let Some(vm) = self.prober.next_elsewhere(&mut self.rng)
+        {
+            self.ping(&vm, now);
+        }
+        if round.is_multiple_of(LOST_ZONE_ROUNDS) {
+            self.ping_lost_zone(now);
+        }
+        self.ping_dead(now);
+        if round.is_multiple_of(SEED_ROUNDS)
+            && let Some(seed) = self.rng.choice(self.cfg.seeds.clone())
+        {
+            self.ping_address(seed, now);
+        }
+    }
+
+    /// Pings a member of a lost zone, to notice soon when it answers again.
+    fn ping_lost_zone(&mut self, now: Time) {
+        let lost: Vec<_> = self.members.lost_zones().cloned().collect();
+        let Some(zone) = self.rng.choice(lost) else {
+            return;
+        };
+        let members = self.members.iter().filter(|(_, m)| m.zone == zone);
+        if let Some(vm) = self
+            .rng
+            .choice(members.map(|(vm, _)| vm).collect::<Vec<_>>())
+        {
+            self.ping(&vm.clone(), now);
+        }
+    }
+
+    /// Pings a dead member now and then, so that one that lives can refute it.
+    ///
+    /// All nodes together ping each dead member a few times a second.
+    fn ping_dead(&mut self, now: Time) {
+        let members = self.members.len();
+        let dead = self.members.iter().filter(|(_, m)| m.is_dead());
+        let dead: Vec<_> = dead.map(|(vm, _)| vm).collect();
+        if self.rng.usize(..members.max(1)) < DEAD_PINGS * dead.len()
+            && let Some(vm) = self.rng.choice(dead).cloned()
+        {
+            self.ping(&vm, now);
+        }
+    }
+
+    pub(super) fn ping(&mut self, vm: &VmName, now: Time) {
+        let Some(peer) = self.members.get(vm).map(|m| m.peer) else {
+            return;
+        };
+        let sequence = self.prober.ping(Some(vm.clone()), peer, now);
+        self.send(peer, Some(vm), DatagramBody::Ping(sequence), now);
+    }
+
+    fn ping_address(&mut self, peer: SocketAddr, now: Time) {
+        let sequence = self.prober.ping(None, peer, now);
+        self.send(peer, None, DatagramBody::Ping(sequence), now);
+    }
+
+    /// Asks several peers for the version they hold.
+    pub(super) fn ask_around(&mut self, now: Time) {
+        let seeds = self
+            .rng
+            .choose_multiple(self.cfg.seeds.clone(), ASKED_PEERS);
+        for seed in seeds {
+            self.ping_address(seed, now);
+        }
+        for vm in self.random_members(ASKED_PEERS, |_| true) {
+            self.ping(&vm, now);
+        }
+    }
+
+    /// Returns random live members for which `wanted` holds.
+    pub(super) fn random_members(
+        &mut self,
+        count: usize,
+        wanted: impl Fn(&Member) -> bool,
+    ) -> Vec<VmName> {
+        let live = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.is_alive() && wanted(m))
+            .map(|(vm, _)| vm);
+        self.rng
+            .choose_multiple(live, count)
+            .into_iter()
+            .cloned()
+            .collect()
+    }
+
+    pub(super) fn run_timeouts(&mut self, now: Time) {
+        for missing in self.prober.missing(now) {
+            match missing {
+                Missing::AskHelpers(sequence, vm, peer) => {
+                    self.ask_helpers(sequence, &vm, peer, now);
+                }
+                Missing::Suspect(vm) => self.suspect(vm, now),
+            }
+        }
+        self.puller.expire(self.configuration.version(), now);
+        if let Some(pull) = self.puller.time_out(now) {
+            self.puller.postpone_broken(&pull.vm, now);
+        }
+    }
+
+    fn suspect(&mut self, vm: VmName, now: Time) {
+        let is_alive = self.members.get(&vm).is_some_and(Member::is_alive);
+        self.members.suspect(&vm, now);
+        if is_alive {
+            self.prober.follow(vm);
+        }
+    }
+
+    fn ask_helpers(&mut self, sequence: Sequence, target: &VmName, peer: SocketAddr, now: Time) {
+        let zone = self.cfg.zone.clone();
+        let helpers = self.random_members(HELPERS, |m| m.zone == zone && m.peer != peer);
+        for helper in helpers {
+            let Some(to) = self.members.get(&helper).map(|m| m.peer) else {
+                continue;
+            };
+            let body = DatagramBody::PingRequest {
+                sequence,
+                target: target.clone(),
+                peer,
+            };
+            self.send(to, Some(&helper), body, now);
+        }
+    }
+
+    /// Notes the clocks at every event of the process, to notice a freeze.
+    pub fn observe(&mut self, now: Now, actions: &mut Vec<FleetAction>) {
+        let jump = (now.mono - self.observed.mono).max(now.wall - self.observed.wall);
+        self.observed = now;
+        if jump >= FREEZE {
+            self.thaw(jump, now.mono);
+            actions.append(&mut self.out);
+        }
+    }
+
+    /// Takes back what the freeze made worthless, and asks peers.
+    fn thaw(&mut self, jump: Duration, now: Time) {
+        self.out.push(FleetAction::Report(Report::Frozen { jump }));
+        self.prober.reset(now);
+        self.puller.reset();
+        self.members.reset(now);
+        self.reader.reset(now);
+        let reachable = self.members.len() + self.cfg.seeds.len();
+        self.stage.freeze(reachable.min(ASKED_PEERS), now);
+        self.ask_around(now);
+        self.carry_changes(now);
+    }
+
+    /// Goes on as fresh once this node holds what its peers hold.
+    pub(super) fn advance_stage(&mut self, now: Time) {
+        let alone = self.cfg.seeds.is_empty() || self.is_only_member();
+        let Some(from) = self.stage.advance(self.version(), alone, now) else {
+            return;
+        };
+        self.out.push(FleetAction::Report(Report::Fresh));
+        if from == StageKind::Learning
+            && let Some(held) = self.configuration.held()
+        {
+            self.out
+                .push(FleetAction::Configured(held.snapshot.clone()));
+            self.tell_states();
+        }
+    }
+
+    /// Tells the states that were learned before the configuration came into force.
+    fn tell_states(&mut self) {
+        for (vm, member) in self.members.iter() {
+            let state = member.state();
+            if state != MemberState::Alive {
+                let vm = vm.clone();
+                self.out.push(FleetAction::Member { vm, state });
+            }
+        }
+    }
+
+    fn is_only_member(&self) -> bool {
+        self.configuration.held().is_some() && self.members.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/fleet/serve.rs
@@ -0,0 +1,89 @@
+//! Pulls of other nodes: deltas, whole configurations, at a bounded rate.
+
+use std::time::Duration;
+
+use celeryshore_model::Time;
+
+use super::Fleet;
+use super::budget::TrafficKind;
+use super::event::FleetAction;
+use super::event::InboundPullId;
+use super::prepare::Prepare;
+use super::pull::Helper;
+use super::pull::PullReply;
+use super::pull::PullRequest;
+
+/// Time after which a configuration that is being packed should be ready.
+const PACKING_TIME: Duration = Duration::from_millis(100);
+
+/// Shortest time after which a peer should come back.
+const SHORTEST_WAIT: Duration = Duration::from_millis(50);
+
+/// Longest time after which a peer should come back.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+/// Other nodes that a peer is told of when this one is busy.
+const OTHER_HELPERS: usize = 3;
+
+/// Bytes that a reply takes besides its payload.
+const OVERHEAD_BYTES: usize = 200;
+
+impl Fleet {
+    pub(super) fn serve(&mut self, inbound: InboundPullId, request: &PullRequest, now: Time) {
+        let reply = self.reply(request, now);
+        self.out.push(FleetAction::PullReply { inbound, reply });
+    }
+
+    fn reply(&mut self, request: &PullRequest, now: Time) -> PullReply {
+        let version = self.version();
+        if request.base >= version {
+            return PullReply::NotNewer { version };
+        }
+        if let Some(steps) = self.configuration.deltas_since(request.base) {
+            return self.limit(TrafficKind::PullDelta, PullReply::Deltas(steps), now);
+        }
+        let packed = self.configuration.held().and_then(|h| h.packed.clone());
+        match packed {
+            Some(packed) => {
+                let reply = PullReply::Snapshot { version, packed };
+                self.limit(TrafficKind::PullSnapshot, reply, now)
+            }
+            None => self.pack(),
+        }
+    }
+
+    /// Gives the reply if the limit of bytes allows it.
+    fn limit(&mut self, kind: TrafficKind, reply: PullReply, now: Time) -> PullReply {
+        let bytes = reply.payload_bytes() + OVERHEAD_BYTES;
+        match self.traffic.take(kind, bytes, now) {
+            Ok(()) => reply,
+            Err(wait) => self.busy(wait),
+        }
+    }
+
+    fn pack(&mut self) -> PullReply {
+        if let Some(base) = self.configuration.base().filter(|_| !self.packing) {
+            self.packing = true;
+            self.out
+                .push(FleetAction::Prepare(Box::new(Prepare::Pack(base))));
+        }
+        PullReply::Busy {
+            retry_after: PACKING_TIME,
+            others: Vec::new(),
+        }
+    }
+
+    fn busy(&mut self, wait: Duration) -> PullReply {
+        let version = self.version();
+        let others = self.random_members(OTHER_HELPERS, |m| m.version >= version);
+        let helpers = others.iter().filter_map(|vm| {
+            let control = self.members.get(vm)?.control;
+            let vm = vm.clone();
+            Some(Helper { vm, control })
+        });
+        PullReply::Busy {
+            retry_after: wait.clamp(SHORTEST_WAIT, LONGEST_WAIT),
+            others: helpers.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/fleet/stage.rs
@@ -0,0 +1,219 @@
+//! Life cycle of a node: learning, fresh, stale.
+//!
+//! Each stage is a type of its own; a transition consumes the old stage.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshore_model::Time;
+use celeryshore_model::Version;
+use celeryshore_model::VmName;
+use derive_more::Display;
+use derive_more::From;
+use serde::Serialize;
+
+/// Time after the first answer in which further peers may answer.
+const ANSWER_BOUND: Duration = Duration::from_secs(1);
+
+/// Time for which a version that a peer told of is waited for.
+const VERSION_BOUND: Duration = Duration::from_secs(10);
+
+/// Time after which a stale node that reaches nobody goes on.
+const ISOLATION_BOUND: Duration = Duration::from_secs(5);
+
+/// Stage of a node, as it is shown.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StageKind {
+    /// It holds nothing that callers' work may rest on.
+    #[display("learning")]
+    Learning,
+    /// It serves under the newest version that it knows of.
+    #[display("fresh")]
+    Fresh,
+    /// It was frozen, and asks its peers before it counts as fresh.
+    #[display("stale")]
+    Stale,
+}
+
+/// Peers that answered since a stage began, with the versions they hold.
+#[derive(Debug, Default)]
+struct Census {
+    heard: BTreeMap<VmName, (Version, Time)>,
+    first: Option<Time>,
+}
+
+impl Census {
+    fn hear(&mut self, vm: &VmName, version: Version, now: Time) {
+        self.first.get_or_insert(now);
+        let (newest, _) = *self
+            .heard
+            .get(vm)
+            .unwrap_or(&(Version::default(), Time::ZERO));
+        self.heard.insert(vm.clone(), (newest.max(version), now));
+    }
+
+    fn is_over(&self, asked: usize, now: Time) -> bool {
+        let Some(first) = self.first else {
+            return false;
+        };
+        self.heard.len() >= asked || now - first >= ANSWER_BOUND
+    }
+
+    fn newest(&self, now: Time) -> Version {
+        let recent = self
+            .heard
+            .values()
+            .filter(|(_, heard)| now - *heard < VERSION_BOUND);
+        recent
+            .map(|(version, _)| *version)
+            .max()
+            .unwrap_or_default()
+    }
+
+    fn allows(&self, held: Version, asked: usize, now: Time) -> bool {
+        self.is_over(asked, now) && held >= self.newest(now)
+    }
+}
+
+/// The node holds nothing that callers' work may rest on.
+#[derive(Debug)]
+pub struct Learning {
+    census: Census,
+    asked: usize,
+}
+
+impl Learning {
+    /// Begins to learn from `asked` peers.
+    pub fn new(asked: usize) -> Self {
+        Self {
+            census: Census::default(),
+            asked,
+        }
+    }
+
+    /// Returns whether no peer has answered yet.
+    pub const fn is_unanswered(&self) -> bool {
+        self.census.first.is_none()
+    }
+
+    /// Ends the stage if the node may take work under `held`.
+    ///
+    /// A node without seeds, or the only one of its configuration, has nobody
+    /// to ask.
+    fn finish(self, held: Version, alone: bool, now: Time) -> Result<Fresh, Self> {
+        let allowed = alone || self.census.allows(held, self.asked, now);
+        if held != Version::default() && allowed {
+            Ok(Fresh { since: now })
+        } else {
+            Err(self)
+        }
+    }
+}
+
+/// The node serves under the newest version that it knows of.
+#[derive(Debug)]
+pub struct Fresh {
+    since: Time,
+}
+
+impl Fresh {
+    /// Ends the stage after a freeze, to ask `asked` peers.
+    fn freeze(self, asked: usize, now: Time) -> Stale {
+        Stale {
+            census: Census::default(),
+            asked,
+            since: now.max(self.since),
+        }
+    }
+}
+
+/// The node was frozen, and asks its peers before it counts as fresh.
+#[derive(Debug)]
+pub struct Stale {
+    census: Census,
+    asked: usize,
+    since: Time,
+}
+
+impl Stale {
+    /// Ends the stage if the node may count as fresh under `held`.
+    ///
+    /// A node that reaches nobody serves on under what it holds.
+    fn finish(self, held: Version, now: Time) -> Result<Fresh, Self> {
+        let isolated = self.census.first.is_none() && now - self.since >= ISOLATION_BOUND;
+        if self.asked == 0 || isolated || self.census.allows(held, self.asked, now) {
+            Ok(Fresh { since: now })
+        } else {
+            Err(self)
+        }
+    }
+
+    /// Begins to ask anew after another freeze.
+    fn freeze(self, asked: usize, now: Time) -> Self {
+        Self {
+            census: Census::default(),
+            asked,
+            since: now.max(self.since),
+        }
+    }
+}
+
+/// Any stage.
+#[derive(Debug, From)]
+pub enum Stage {
+    /// See [`Learning`].
+    Learning(Learning),
+    /// See [`Fresh`].
+    Fresh(Fresh),
+    /// See [`Stale`].
+    Stale(Stale),
+}
+
+impl Stage {
+    /// Returns the stage as it is shown.
+    pub const fn kind(&self) -> StageKind {
+        match self {
+            Self::Learning(_) => StageKind::Learning,
+            Self::Fresh(_) => StageKind::Fresh,
+            Self::Stale(_) => StageKind::Stale,
+        }
+    }
+
+    /// Notes the version of a peer that answered.
+    pub fn hear(&mut self, vm: &VmName, version: Version, now: Time) {
+        match self {
+            Self::Learning(learning) => learning.census.hear(vm, version, now),
+            Self::Stale(stale) => stale.census.hear(vm, version, now),
+            Self::Fresh(_) => {}
+        }
+    }
+
+    /// Goes on as fresh if the stage is over; says which stage it was.
+    pub fn advance(&mut self, held: Version, alone: bool, now: Time) -> Option<StageKind> {
+        let from = self.kind();
+        *self = match self.take(now) {
+            Self::Learning(stage) => into_stage(stage.finish(held, alone, now)),
+            Self::Stale(stage) => into_stage(stage.finish(held, now)),
+            Self::Fresh(stage) => stage.into(),
+        };
+        (self.kind() != from).then_some(from)
+    }
+
+    /// Becomes stale after a freeze, or begins to learn anew.
+    pub fn freeze(&mut self, asked: usize, now: Time) {
+        *self = match self.take(now) {
+            Self::Fresh(stage) => stage.freeze(asked, now).into(),
+            Self::Stale(stage) => stage.freeze(asked, now).into(),
+            Self::Learning(stage) => Learning::new(stage.asked).into(),
+        };
+    }
+
+    fn take(&mut self, now: Time) -> Self {
+        std::mem::replace(self, Fresh { since: now }.into())
+    }
+}
+
+fn into_stage<S: Into<Stage>>(finished: Result<Fresh, S>) -> Stage {
+    finished.map_or_else(Into::into, Into::into)
+}
--- /dev/null
+++ b/crates/kernel/src/fleet/status.rs
@@ -0,0 +1,191 @@
+//! What the state dump shows of membership and configuration.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshore_model::Incarnation;
+use celeryshore_model::Index;
+use celeryshore_model::Time;
+use celeryshore_model::Version;
+use celeryshore_model::VmName;
+use celeryshore_model::ZoneName;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Fleet;
+use super::budget::TrafficCount;
+use super::budget::TrafficKind;
+use super::member::Member;
+use super::member::MemberState;
+use super::message::Refutation;
+use super::stage::StageKind;
+use crate::Kernel;
+use crate::Section;
+
+/// Summary of membership and configuration at one node.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_kernel::Fleet;
+/// use celeryshore_kernel::FleetConfig;
+/// use celeryshore_kernel::StageKind;
+/// use celeryshore_model::Incarnation;
+/// use celeryshore_model::Now;
+///
+/// let cfg = FleetConfig {
+///     vm: "vm-1".parse()?,
+///     zone: "glasgow".parse()?,
+///     incarnation: Incarnation(1),
+///     peer: "127.0.0.1:7000".parse().unwrap(),
+///     control: "127.0.0.1:7001".parse().unwrap(),
+///     seeds: Vec::new(),
+///     source: true,
+///     seed: 1,
+/// };
+/// let fleet = Fleet::new(cfg, Now::default());
+/// assert_eq!(fleet.status().stage, StageKind::Learning);
+/// # Ok::<(), celeryshore_model::Error>(())
+/// ```
+#[derive(Clone, Debug, Serialize)]
+pub struct FleetStatus {
+    /// VM of the node.
+    pub vm: VmName,
+    /// Availability zone of the node.
+    pub zone: ZoneName,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Number of the node's last statement.
+    pub refutation: Refutation,
+    /// Stage of the node's life.
+    pub stage: StageKind,
+    /// Whether the node is leaving.
+    pub leaving: bool,
+    /// Whether it is one of the readers of its zone.
+    pub reader: bool,
+    /// Whether it fails to read the platform.
+    pub unwell: bool,
+    /// Calls on the platform so far.
+    pub source_calls: u64,
+    /// Index that was read last.
+    pub source_index: Option<Index>,
+    /// Time since any reader was in good contact with the platform.
+    pub view_age: Option<Duration>,
+    /// Members by state.
+    pub members: BTreeMap<MemberState, usize>,
+    /// Zones that were lost at once.
+    pub lost_zones: Vec<ZoneName>,
+    /// News that wait to be told.
+    pub news: usize,
+    /// What was sent for control, by kind.
+    pub traffic: BTreeMap<TrafficKind, TrafficCount>,
+}
+
+impl Fleet {
+    /// Returns a summary for people and metrics.
+    #[must_use]
+    pub fn status(&self) -> FleetStatus {
+        let now = self.observed.mono;
+        FleetStatus {
+            vm: self.cfg.vm.clone(),
+            zone: self.cfg.zone.clone(),
+            incarnation: self.cfg.incarnation,
+            refutation: self.own.refutation,
+            stage: self.stage(),
+            leaving: self.own.leaving,
+            reader: self.reads,
+            unwell: self.own.unwell,
+            source_calls: self.reader.calls(),
+            source_index: self.reader.index(),
+            view_age: self.view.age(now),
+            members: self.count_members(),
+            lost_zones: self.members.lost_zones().cloned().collect(),
+            news: self.gossip.len(),
+            traffic: TrafficKind::ALL
+                .into_iter()
+                .map(|kind| (kind, self.traffic(kind)))
+                .collect(),
+        }
+    }
+
+    /// Returns the time since any reader was in good contact with the platform.
+    #[must_use]
+    pub fn view_age(&self, now: Time) -> Option<Duration> {
+        self.view.age(now)
+    }
+
+    fn count_members(&self) -> BTreeMap<MemberState, usize> {
+        let mut counts = BTreeMap::new();
+        for (_, member) in self.members.iter() {
+            *counts.entry(member.state()).or_default() += 1;
+        }
+        counts
+    }
+}
+
+#[derive(Serialize)]
+struct MemberStatus<'a> {
+    zone: &'a ZoneName,
+    state: MemberState,
+    incarnation: Incarnation,
+    refutation: Refutation,
+    version: Version,
+    unwell: bool,
+}
+
+impl<'a> MemberStatus<'a> {
+    fn new(member: &'a Member, now: Time) -> Self {
+        Self {
+            zone: &member.zone,
+            state: member.state(),
+            incarnation: member.incarnation,
+            refutation: member.refutation,
+            version: member.version,
+            unwell: member.is_unwell(now),
+        }
+    }
+}
+
+inventory::submit! {
+    Section { name: "fleet", render: render_fleet }
+}
+
+inventory::submit! {
+    Section { name: "configuration", render: render_configuration }
+}
+
+inventory::submit! {
+    Section { name: "members", render: render_members }
+}
+
+fn render_fleet(kernel: &Kernel) -> Value {
+    json!(kernel.fleet.status())
+}
+
+fn render_configuration(kernel: &Kernel) -> Value {
+    let configuration = &kernel.fleet.configuration;
+    let held = configuration.held();
+    let refusals: Vec<_> = configuration
+        .refusals()
+        .map(|r| json!({ "digest": r.digest, "error": r.error.to_string() }))
+        .collect();
+    json!({
+        "version": configuration.version(),
+        "since": held.map(|h| h.since),
+        "text_bytes": held.map(|h| h.base.text.len()),
+        "deltas": configuration.history_len(),
+        "refusals": refusals,
+    })
+}
+
+fn render_members(kernel: &Kernel) -> Value {
+    let fleet = &kernel.fleet;
+    let now = fleet.observed.mono;
+    let members: BTreeMap<_, _> = fleet
+        .members
+        .iter()
+        .map(|(vm, member)| (vm, MemberStatus::new(member, now)))
+        .collect();
+    json!(members)
+}
--- /dev/null
+++ b/crates/kernel/tests/fleet/main.rs
@@ -0,0 +1,13 @@
+//! Tests of membership and configuration, one module a feature.
+
+mod budget;
+mod convergence;
+mod freeze;
+mod learning;
+mod never_back;
+mod parts;
+mod readers;
+mod stale_source;
+mod support;
+mod suspicion;
+mod zone_loss;
