--- /dev/null
+++ b/crates/node/src/callers/connection.rs
@@ -0,0 +1,125 @@
+//! One connection of a caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use celeryshore_kernel::Answer;
+use celeryshore_model::HttpRequest;
+use futures_lite::FutureExt;
+
+use crate::Result;
+use crate::callers::Callers;
+use crate::callers::answer;
+use crate::callers::gate::Pass;
+use crate::callers::refusal::Refusal;
+use crate::error::Protocol;
+use crate::http;
+use crate::http::Connection;
+use crate::http::Incoming;
+use crate::http::MessageLimits;
+use crate::net;
+use crate::net::Stream;
+
+/// Time that an idle connection of a leaving node stays open, so that a request
+/// on its way to it is answered.
+const LEAVING_GRACE: Duration = Duration::from_secs(1);
+
+/// Serves the requests of one connection, one after the other.
+pub(super) async fn serve(callers: Arc<Callers>, stream: Stream, pass: Pass) {
+    let mut conn = Connection::new(stream);
+    loop {
+        let served = serve_one(&callers, &mut conn, &pass).await;
+        if let Err(err) = &served {
+            slog::debug!(callers.driver.log(), "callers: connection closed"; "error" => %err);
+        }
+        if !matches!(served, Ok(Next::Read)) {
+            return;
+        }
+    }
+}
+
+/// What becomes of a connection.
+enum Next {
+    Read,
+    Close,
+}
+
+async fn serve_one(callers: &Arc<Callers>, conn: &mut Connection, pass: &Pass) -> Result<Next> {
+    let incoming = match next_request(callers, conn, pass).await {
+        Ok(Some(incoming)) => incoming,
+        Ok(None) => return Ok(Next::Close),
+        Err(err) => {
+            if let Some(refusal) = Refusal::of(&err) {
+                write(callers, conn, &refusal.encode().await).await?;
+            }
+            return Err(err);
+        }
+    };
+    let method = incoming.request.method.clone();
+    let Some(answer) = decide(callers, conn, incoming.request).await else {
+        return Ok(Next::Close);
+    };
+    let closes = incoming.closes || pass.is_closing();
+    let response = answer::response(answer);
+    let bytes = http::encode_response(&response, &method, closes).await?;
+    write(callers, conn, &bytes).await?;
+    Ok(if closes { Next::Close } else { Next::Read })
+}
+
+/// Reads the next request; nothing if the connection is idle for too long, or
+/// idle while the node leaves.
+async fn next_request(
+    callers: &Callers,
+    conn: &mut Connection,
+    pass: &Pass,
+) -> Result<Option<Incoming>> {
+    if !starts(callers, conn, pass).await? {
+        return Ok(None);
+    }
+    let limits = MessageLimits {
+        header: callers.limits.header,
+        body: callers.limits.body,
+    };
+    let read = net::within(callers.limits.idle, http::read_request(conn, limits)).await;
+    read.ok_or(Protocol::Timeout)?
+}
+
+/// Waits for the first byte of a request.
+async fn starts(callers: &Callers, conn: &mut Connection, pass: &Pass) -> Result<bool> {
+    let started = async { Ok(conn.starts().await?) };
+    let idle = async {
+        Timer::after(callers.limits.idle).await;
+        Ok(false)
+    };
+    let leaving = async {
+        pass.closing().await;
+        Timer::after(LEAVING_GRACE).await;
+        Ok(false)
+    };
+    started.or(idle).or(leaving).await
+}
+
+/// Waits for the answer; nothing if the caller closes its connection before it.
+async fn decide(
+    callers: &Arc<Callers>,
+    conn: &mut Connection,
+    request: HttpRequest,
+) -> Option<Answer> {
+    let (call, answer) = callers.driver.arrive(request);
+    let answered = async { answer.recv().await.ok() };
+    let closed = async {
+        conn.closed(callers.limits.body).await;
+        None
+    };
+    let answer = answered.or(closed).await;
+    if answer.is_none() {
+        callers.driver.cancel(call);
+    }
+    answer
+}
+
+async fn write(callers: &Callers, conn: &Connection, bytes: &[u8]) -> Result<()> {
+    let written = net::within(callers.limits.idle, conn.write(bytes)).await;
+    Ok(written.ok_or(Protocol::Timeout)??)
+}
--- /dev/null
+++ b/crates/node/src/driver/mod.rs
@@ -0,0 +1,244 @@
+//! Carries events to the decisions and their actions out.
+
+mod pending;
+mod wake;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::StaticExecutor;
+use async_executor::Task;
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::CallId;
+use celeryshore_kernel::ExchangeId;
+use celeryshore_kernel::InboundId;
+use celeryshore_kernel::PeerReply;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_kernel::RequestAction;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::Requests;
+use celeryshore_kernel::RequestsConfig;
+use celeryshore_kernel::WorkId;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
+use celeryshore_model::VmName;
+use slog::Logger;
+
+use self::pending::Pending;
+use self::wake::Wake;
+use crate::clock::Clock;
+use crate::peers::Peers;
+use crate::target::Target;
+use crate::target::TargetLimits;
+
+/// Everything that the tasks of a node share.
+pub(crate) struct Driver {
+    ex: &'static StaticExecutor,
+    log: Logger,
+    clock: Clock,
+    vm: VmName,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) target: Arc<Target>,
+    wake: Wake,
+    drained: (Sender<()>, Receiver<()>),
+    state: Mutex<State>,
+}
+
+/// The decisions, and what waits for their actions. Actions are carried out
+/// under the lock, so that their order is that of the decisions.
+struct State {
+    requests: Requests,
+    pending: Pending,
+    actions: Vec<RequestAction>,
+}
+
+/// What a driver is made of.
+pub(crate) struct DriverParts {
+    pub(crate) ex: &'static StaticExecutor,
+    pub(crate) log: Logger,
+    pub(crate) cfg: RequestsConfig,
+    pub(crate) target: Target,
+}
+
+impl Driver {
+    pub(crate) fn new(parts: DriverParts) -> Self {
+        let clock = Clock::start();
+        let vm = parts.cfg.vm.clone();
+        let state = State {
+            requests: Requests::new(parts.cfg, clock.now()),
+            pending: Pending::default(),
+            actions: Vec::new(),
+        };
+        Self {
+            ex: parts.ex,
+            log: parts.log,
+            clock,
+            vm,
+            peers: Arc::default(),
+            target: Arc::new(parts.target),
+            wake: Wake::default(),
+            drained: async_channel::bounded(1),
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(crate) fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    pub(crate) fn spawn(&self, fut: impl Future<Output = ()> + Send + 'static) {
+        self.ex.spawn(fut).detach();
+    }
+
+    /// Takes one event and carries out what is decided.
+    pub(crate) fn handle(self: &Arc<Self>, event: RequestEvent) {
+        self.handle_locked(&mut self.lock(), event);
+    }
+
+    /// Takes a caller's request; the answer comes through the receiver.
+    pub(crate) fn arrive(self: &Arc<Self>, request: HttpRequest) -> (CallId, Receiver<Answer>) {
+        let mut state = self.lock();
+        let (call, answer) = state.pending.add_call();
+        self.handle_locked(&mut state, RequestEvent::Arrived { call, request });
+        (call, answer)
+    }
+
+    /// Gives up a caller's request.
+    pub(crate) fn cancel(self: &Arc<Self>, call: CallId) {
+        let mut state = self.lock();
+        state.pending.remove_call(call);
+        self.handle_locked(&mut state, RequestEvent::Cancelled { call });
+    }
+
+    /// Takes a peer's request; the reply comes through the receiver.
+    pub(crate) fn receive(
+        self: &Arc<Self>,
+        request: PeerRequest,
+    ) -> (InboundId, Receiver<PeerReply>) {
+        let mut state = self.lock();
+        let (inbound, reply) = state.pending.add_inbound();
+        self.handle_locked(&mut state, RequestEvent::Received { inbound, request });
+        (inbound, reply)
+    }
+
+    /// Gives up a peer's request.
+    pub(crate) fn withdraw(self: &Arc<Self>, inbound: InboundId) {
+        let mut state = self.lock();
+        state.pending.remove_inbound(inbound);
+        self.handle_locked(&mut state, RequestEvent::Withdrawn { inbound });
+    }
+
+    /// Puts a configuration in force.
+    pub(crate) fn configure(self: &Arc<Self>, snapshot: Arc<Snapshot>) {
+        if let Some(limits) = target_limits(&snapshot, &self.vm) {
+            self.target.set_limits(limits);
+        }
+        self.handle(RequestEvent::Configured(snapshot));
+    }
+
+    /// Sends ticks when they are due, until the task is dropped.
+    pub(crate) async fn tick(self: Arc<Self>) {
+        loop {
+            self.wake.due(&self.clock).await;
+            self.handle(RequestEvent::Tick);
+        }
+    }
+
+    /// Waits until all work is finished after a drain.
+    pub(crate) async fn drained(&self) {
+        let _ = self.drained.1.recv().await;
+    }
+
+    fn handle_locked(self: &Arc<Self>, state: &mut State, event: RequestEvent) {
+        let mut actions = std::mem::take(&mut state.actions);
+        state.requests.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(&mut state.pending, action);
+        }
+        state.actions = actions;
+    }
+
+    fn carry_out(self: &Arc<Self>, pending: &mut Pending, action: RequestAction) {
+        match action {
+            RequestAction::Answer { call, answer } => pending.answer(call, answer),
+            RequestAction::Reply { inbound, reply } => pending.reply(inbound, reply),
+            RequestAction::Send {
+                exchange,
+                peer,
+                request,
+                deadline,
+                ..
+            } => {
+                let task = self.exchange(exchange, peer, request, deadline);
+                pending.add_exchange(exchange, task);
+            }
+            RequestAction::Abandon { exchange } => pending.remove_exchange(exchange),
+            RequestAction::Run {
+                work,
+                request,
+                deadline,
+            } => {
+                let task = self.run(work, request, deadline);
+                pending.add_work(work, task);
+            }
+            RequestAction::Abort { work } => pending.remove_work(work),
+            RequestAction::CatchUp { .. } => {}
+            RequestAction::WakeAt(time) => self.wake.at(time),
+            RequestAction::Drained => {
+                let _ = self.drained.0.try_send(());
+            }
+        }
+    }
+
+    fn exchange(
+        self: &Arc<Self>,
+        exchange: ExchangeId,
+        peer: SocketAddr,
+        request: PeerRequest,
+        deadline: Time,
+    ) -> Task<()> {
+        let driver = self.clone();
+        let deadline = self.clock.instant(deadline);
+        self.ex.spawn(async move {
+            let reply = driver.peers.exchange(peer, request, deadline).await;
+            let event = match reply {
+                Ok(reply) => RequestEvent::Replied { exchange, reply },
+                Err(progress) => RequestEvent::ExchangeFailed { exchange, progress },
+            };
+            let mut state = driver.lock();
+            state.pending.end_exchange(exchange);
+            driver.handle_locked(&mut state, event);
+        })
+    }
+
+    fn run(self: &Arc<Self>, work: WorkId, request: HttpRequest, deadline: Time) -> Task<()> {
+        let driver = self.clone();
+        let deadline = self.clock.instant(deadline);
+        self.ex.spawn(async move {
+            let outcome = driver.target.run(request, deadline).await;
+            let mut state = driver.lock();
+            state.pending.end_work(work);
+            driver.handle_locked(&mut state, RequestEvent::Finished { work, outcome });
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn target_limits(snapshot: &Snapshot, vm: &VmName) -> Option<TargetLimits> {
+    let service = &snapshot.upstream_on(vm)?.service;
+    let limits = snapshot.services.get(service)?.limits;
+    Some(TargetLimits {
+        connections: limits.connections.get(),
+        body: limits.body,
+    })
+}
--- /dev/null
+++ b/crates/node/src/driver/wake.rs
@@ -0,0 +1,72 @@
+//! Times at which the decisions want a tick.
+
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Timer;
+use celeryshore_model::Time;
+use futures_lite::FutureExt;
+
+use crate::clock::Clock;
+
+/// Times that were asked for and have not come.
+pub(super) struct Wake {
+    times: Mutex<BTreeSet<Time>>,
+    earlier: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Wake {
+    fn default() -> Self {
+        Self {
+            times: Mutex::default(),
+            earlier: async_channel::bounded(1),
+        }
+    }
+}
+
+impl Wake {
+    /// Asks for a tick at `time`.
+    pub(super) fn at(&self, time: Time) {
+        let mut times = self.lock();
+        let is_earliest = times.first().is_none_or(|first| time < *first);
+        times.insert(time);
+        if is_earliest {
+            let _ = self.earlier.0.try_send(());
+        }
+    }
+
+    /// Waits until a time that was asked for has come.
+    pub(super) async fn due(&self, clock: &Clock) {
+        while !self.take_due(clock.mono()) {
+            let earlier = async {
+                let _ = self.earlier.1.recv().await;
+            };
+            earlier.or(self.sleep(clock)).await;
+        }
+    }
+
+    async fn sleep(&self, clock: &Clock) {
+        let first = self.lock().first().copied();
+        match first {
+            Some(time) => {
+                Timer::at(clock.instant(time)).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
+    fn take_due(&self, now: Time) -> bool {
+        let mut times = self.lock();
+        let count = times.len();
+        times.retain(|time| *time > now);
+        times.len() < count
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<Time>> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/http/request.rs
@@ -0,0 +1,148 @@
+//! Requests: read from callers, written to targets.
+
+use std::str::FromStr;
+
+use async_h1::client::Encoder;
+use async_h1::server;
+use bytes::Bytes;
+use celeryshore_model::ByteSize;
+use celeryshore_model::HttpRequest;
+use futures_lite::AsyncReadExt;
+use http_types::Method;
+use http_types::Request;
+use http_types::Url;
+use http_types::headers::HOST;
+
+use crate::Result;
+use crate::error::Protocol;
+use crate::http::Connection;
+use crate::http::MessageLimits;
+use crate::http::field;
+use crate::http::head;
+use crate::http::head::Framing;
+use crate::http::head::Head;
+
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A request with what it means for its connection.
+pub(crate) struct Incoming {
+    pub(crate) request: HttpRequest,
+    /// The connection cannot carry another request.
+    pub(crate) closes: bool,
+}
+
+/// Reads a whole request; nothing if the connection ends before it.
+pub(crate) async fn read_request(
+    conn: &mut Connection,
+    limits: MessageLimits,
+) -> Result<Option<Incoming>> {
+    let Some(text) = conn.head(limits.header).await? else {
+        return Ok(None);
+    };
+    let head = Head::parse(&text)?;
+    check_length(head, limits.body)?;
+    let text = head::without_expect(&text);
+    if head.expects_continue {
+        conn.write(CONTINUE).await?;
+    }
+    let closes = head.closes || head.framing == Framing::Chunked;
+    let request = match head.framing {
+        Framing::Chunked => read_chunked(conn, &text, limits.body).await?,
+        Framing::Length(length) => {
+            let body = conn.body(length, limits.body).await?;
+            decode(text, body).await?
+        }
+        Framing::Absent => decode(text, Bytes::new()).await?,
+    };
+    Ok(Some(Incoming { request, closes }))
+}
+
+/// Refuses a long body before its sender is told to go on.
+fn check_length(head: Head, limit: ByteSize) -> Result<()> {
+    match head.framing {
+        Framing::Length(length) if length > limit.get() => Err(Protocol::BodyLength.into()),
+        _ => Ok(()),
+    }
+}
+
+async fn decode(text: Bytes, body: Bytes) -> Result<HttpRequest> {
+    let feed = Connection::feed_head(text.clone());
+    let decoded = Box::pin(server::decode(feed)).await?;
+    let (req, _) = decoded.ok_or(Protocol::Head)?;
+    to_model(&req, &text, body)
+}
+
+async fn read_chunked(conn: &mut Connection, text: &Bytes, limit: ByteSize) -> Result<HttpRequest> {
+    let decoded = Box::pin(server::decode(conn.feed_chunked(text))).await?;
+    let (mut req, _) = decoded.ok_or(Protocol::Head)?;
+    let mut body = Vec::new();
+    let mut reader = req.take_body().into_reader().take(limit.get() + 1);
+    reader.read_to_end(&mut body).await?;
+    if body.len() as u64 > limit.get() {
+        return Err(Protocol::BodyLength.into());
+    }
+    to_model(&req, text, body.into())
+}
+
+/// Takes over a request whose path means the same to every receiver.
+fn to_model(req: &Request, text: &Bytes, body: Bytes) -> Result<HttpRequest> {
+    let url = req.url();
+    let path = path_of(url);
+    if sent_path(text) != Some(path.as_bytes()) {
+        return Err(Protocol::Head.into());
+    }
+    let host = url.host_str().unwrap_or_default().to_ascii_lowercase();
+    Ok(HttpRequest {
+        method: Bytes::copy_from_slice(req.method().as_ref().as_bytes()),
+        host: host.into(),
+        path: path.into(),
+        headers: field::end_to_end(req.as_ref()),
+        body,
+    })
+}
+
+fn path_of(url: &Url) -> String {
+    match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    }
+}
+
+fn sent_path(text: &[u8]) -> Option<&[u8]> {
+    text.split(|b| *b == b' ').nth(1)
+}
+
+/// Writes a request for a connection to `host`, or to the host that it names.
+pub(crate) async fn encode_request(request: &HttpRequest) -> Result<Vec<u8>> {
+    let path = std::str::from_utf8(&request.path).map_err(|_| Protocol::Head)?;
+    let host = std::str::from_utf8(&request.host).map_err(|_| Protocol::Head)?;
+    let method = std::str::from_utf8(&request.method).map_err(|_| Protocol::Head)?;
+    let url = Url::parse(&format!("http://{host}{path}")).map_err(|_| Protocol::Head)?;
+    let mut req = Request::new(Method::from_str(method)?, url);
+    req.insert_header(HOST, host);
+    for header in &request.headers {
+        let name = ascii(&header.name)?;
+        req.append_header(name, ascii(&header.value)?);
+    }
+    req.set_body(request.body.to_vec());
+    restore_content_type(&mut req, request);
+    let mut bytes = Vec::with_capacity(request.body.len() + 512);
+    Encoder::new(req).read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
+
+/// The codec gives a body a media type if the caller gave none.
+fn restore_content_type(req: &mut Request, request: &HttpRequest) {
+    if request.header(b"content-type").is_none() {
+        req.remove_header("content-type");
+    }
+}
+
+pub(super) fn ascii(value: &Bytes) -> Result<&str> {
+    let text = std::str::from_utf8(value).map_err(|_| Protocol::Head)?;
+    let is_clean = text.is_ascii() && !text.contains(['\r', '\n', '\0']);
+    if !is_clean {
+        return Err(Protocol::Head.into());
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/crates/node/src/http/response.rs
@@ -0,0 +1,118 @@
+//! Answers: read from targets, written to callers.
+
+use async_h1::client;
+use async_h1::server::Encoder;
+use bytes::Bytes;
+use celeryshore_model::HttpResponse;
+use futures_lite::AsyncReadExt;
+use http_types::Body;
+use http_types::Method;
+use http_types::Response;
+use http_types::StatusCode;
+
+use crate::Result;
+use crate::error::Protocol;
+use crate::http::Connection;
+use crate::http::MessageLimits;
+use crate::http::field;
+use crate::http::head::Framing;
+use crate::http::head::Head;
+use crate::http::request::ascii;
+
+const SUCCESS: u16 = 200;
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
+
+/// Reads the whole answer to a request; tells whether the connection can be kept.
+pub(crate) async fn read_response(
+    conn: &mut Connection,
+    limits: MessageLimits,
+    is_head: bool,
+) -> Result<(HttpResponse, bool)> {
+    let (text, status) = final_head(conn, limits).await?;
+    let head = Head::parse(&text)?;
+    let keeps = !head.closes && head.framing != Framing::Chunked;
+    if is_head || status == NO_CONTENT || status == NOT_MODIFIED {
+        return Ok((decode(text, Bytes::new()).await?, keeps));
+    }
+    let response = match head.framing {
+        Framing::Chunked => read_chunked(conn, &text, limits).await?,
+        Framing::Length(length) => {
+            let body = conn.body(length, limits.body).await?;
+            decode(text, body).await?
+        }
+        Framing::Absent => return Err(Protocol::BodyOpen.into()),
+    };
+    Ok((response, keeps))
+}
+
+/// Skips interim answers.
+async fn final_head(conn: &mut Connection, limits: MessageLimits) -> Result<(Bytes, u16)> {
+    loop {
+        let text = conn.head(limits.header).await?.ok_or(Protocol::Closed)?;
+        let status = status(&text).ok_or(Protocol::Head)?;
+        if status >= SUCCESS {
+            return Ok((text, status));
+        }
+    }
+}
+
+fn status(text: &[u8]) -> Option<u16> {
+    let code = text.split(|b| *b == b' ').nth(1)?.get(..3)?;
+    std::str::from_utf8(code).ok()?.parse().ok()
+}
+
+async fn decode(text: Bytes, body: Bytes) -> Result<HttpResponse> {
+    let res = Box::pin(client::decode(Connection::feed_head(text))).await?;
+    Ok(to_model(&res, body))
+}
+
+async fn read_chunked(
+    conn: &mut Connection,
+    text: &Bytes,
+    limits: MessageLimits,
+) -> Result<HttpResponse> {
+    let mut res = Box::pin(client::decode(conn.feed_chunked(text))).await?;
+    let mut body = Vec::new();
+    let mut reader = res.take_body().into_reader().take(limits.body.get() + 1);
+    reader.read_to_end(&mut body).await?;
+    if body.len() as u64 > limits.body.get() {
+        return Err(Protocol::BodyLength.into());
+    }
+    Ok(to_model(&res, body.into()))
+}
+
+fn to_model(res: &Response, body: Bytes) -> HttpResponse {
+    HttpResponse {
+        status: res.status().into(),
+        headers: field::end_to_end(res.as_ref()),
+        body,
+    }
+}
+
+/// Writes an answer to a request with this method.
+pub(crate) async fn encode_response(
+    response: &HttpResponse,
+    method: &[u8],
+    closes: bool,
+) -> Result<Vec<u8>> {
+    let status = StatusCode::try_from(response.status)?;
+    let mut res = Response::new(status);
+    res.set_body(Body::from_bytes(response.body.to_vec()));
+    res.remove_header("content-type");
+    for header in &response.headers {
+        let name = ascii(&header.name)?;
+        res.append_header(name, ascii(&header.value)?);
+    }
+    if closes {
+        res.insert_header("connection", "close");
+    }
+    let method = if method == b"HEAD" {
+        Method::Head
+    } else {
+        Method::Get
+    };
+    let mut bytes = Vec::with_capacity(response.body.len() + 512);
+    Encoder::new(res, method).read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,2 +1,64 @@
-//! Placeholder.
-fn main() {}
+//! The celeryshore process.
+
+use std::process::ExitCode;
+use std::thread;
+
+use async_executor::StaticExecutor;
+use async_signal::Signal;
+use async_signal::Signals;
+use celeryshore_node::Category;
+use celeryshore_node::Command;
+use celeryshore_node::Error;
+use celeryshore_node::Node;
+use celeryshore_node::Settings;
+use futures_lite::StreamExt;
+use futures_lite::future;
+
+static EXECUTOR: StaticExecutor = StaticExecutor::new();
+
+const EXIT_BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("celeryshore: {err}");
+            exit_code(&err)
+        }
+    }
+}
+
+fn exit_code(err: &anyhow::Error) -> ExitCode {
+    let category = err.downcast_ref::<Error>().map(Error::classify);
+    match category {
+        Some(Category::Usage | Category::Settings) => ExitCode::from(EXIT_BAD_INPUT),
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn run() -> anyhow::Result<()> {
+    match Command::parse(std::env::args_os().skip(1))? {
+        Command::Help => print!("{}", celeryshore_node::usage()),
+        Command::Version => println!("celeryshore {}", env!("CARGO_PKG_VERSION")),
+        Command::Check(path) => {
+            Settings::read(path)?;
+        }
+        Command::Run(path) => serve(Settings::read(path)?)?,
+    }
+    Ok(())
+}
+
+/// The main thread drives the reactor and runs tasks; others only run tasks.
+fn serve(settings: Settings) -> anyhow::Result<()> {
+    let log = celeryshore_node::logger(settings.log);
+    for _ in 1..settings.threads {
+        thread::spawn(|| async_io::block_on(EXECUTOR.run(future::pending::<()>())));
+    }
+    async_io::block_on(EXECUTOR.run(async {
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let node = Node::start(&EXECUTOR, settings, log)?;
+        signals.next().await;
+        node.drain().await;
+        Ok(())
+    }))
+}
--- /dev/null
+++ b/crates/node/src/net.rs
@@ -0,0 +1,68 @@
+//! Sockets and timeouts.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::FutureExt;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A TCP connection that several owners may use.
+pub(crate) type Stream = Arc<Async<TcpStream>>;
+
+/// Opens a connection for small messages.
+pub(crate) async fn connect(addr: SocketAddr) -> io::Result<Stream> {
+    let stream = until(
+        Instant::now() + CONNECT_TIMEOUT,
+        Async::<TcpStream>::connect(addr),
+    )
+    .await
+    .ok_or(io::ErrorKind::TimedOut)??;
+    stream.get_ref().set_nodelay(true)?;
+    Ok(Arc::new(stream))
+}
+
+/// Prepares an accepted connection for small messages.
+pub(crate) fn accepted(stream: Async<TcpStream>) -> io::Result<Stream> {
+    stream.get_ref().set_nodelay(true)?;
+    Ok(Arc::new(stream))
+}
+
+/// Tells whether an idle connection can still be used: open, and nothing to read.
+pub(crate) fn is_quiet(stream: &Stream) -> bool {
+    let mut byte = [0];
+    let peeked = stream.get_ref().peek(&mut byte);
+    matches!(peeked, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Runs `fut` until it is ready or the time has come.
+pub(crate) async fn until<T>(end: Instant, fut: impl Future<Output = T>) -> Option<T> {
+    let done = async { Some(fut.await) };
+    let late = async {
+        Timer::at(end).await;
+        None
+    };
+    done.or(late).await
+}
+
+/// Runs `fut` for at most `span`.
+pub(crate) async fn within<T>(span: Duration, fut: impl Future<Output = T>) -> Option<T> {
+    until(Instant::now() + span, fut).await
+}
+
+/// Accepts the next connection; an exhausted process pauses before the next try.
+pub(crate) async fn accept(listener: &Async<std::net::TcpListener>) -> Option<Stream> {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let Ok((stream, _)) = listener.accept().await else {
+        Timer::after(PAUSE).await;
+        return None;
+    };
+    accepted(stream).ok()
+}
--- /dev/null
+++ b/crates/node/src/peers/frames.rs
@@ -0,0 +1,80 @@
+//! Frames on one connection between nodes.
+
+use std::io;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use celeryshore_model::ByteSize;
+use celeryshore_wire::FrameLimit;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+
+use crate::Result;
+use crate::error::Protocol;
+use crate::net::Stream;
+
+const READ_BYTES: usize = 16 * 1_024;
+/// Longest body that settings allow, and its header.
+const LIMIT: FrameLimit = FrameLimit(ByteSize::new(65 * 1_024 * 1_024));
+
+/// A connection with what was read ahead of the current frame.
+pub(super) struct Frames {
+    stream: Stream,
+    buf: BytesMut,
+}
+
+impl Frames {
+    pub(super) fn new(stream: Stream) -> Self {
+        let buf = BytesMut::new();
+        Self { stream, buf }
+    }
+
+    /// Gives the bare connection back, if nothing was read ahead.
+    pub(super) fn into_idle(self) -> Option<Stream> {
+        self.buf.is_empty().then_some(self.stream)
+    }
+
+    /// Reads a whole frame; nothing if the connection ends before it.
+    pub(super) async fn read(&mut self) -> Result<Option<Bytes>> {
+        loop {
+            let size = celeryshore_wire::frame_size(&self.buf, LIMIT)?;
+            if let Some(size) = size
+                && self.buf.len() >= size
+            {
+                return Ok(Some(self.buf.split_to(size).freeze()));
+            }
+            if self.fill().await? == 0 {
+                return self.ended();
+            }
+        }
+    }
+
+    /// Waits until the other end closes the connection or sends out of turn.
+    pub(super) async fn interrupted(&mut self) {
+        let _ = self.fill().await;
+    }
+
+    /// Writes the first bytes of a frame and returns their number.
+    pub(super) async fn write_some(&self, frame: &[u8]) -> io::Result<usize> {
+        (&*self.stream).write(frame).await
+    }
+
+    pub(super) async fn write(&self, frame: &[u8]) -> io::Result<()> {
+        (&*self.stream).write_all(frame).await
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        let start = self.buf.len();
+        self.buf.resize(start + READ_BYTES, 0);
+        let read = (&*self.stream).read(&mut self.buf[start..]).await;
+        self.buf.truncate(start + read.as_ref().map_or(0, |n| *n));
+        read
+    }
+
+    fn ended(&self) -> Result<Option<Bytes>> {
+        if self.buf.is_empty() {
+            return Ok(None);
+        }
+        Err(Protocol::Closed.into())
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers/inbound.rs
@@ -0,0 +1,125 @@
+//! Exchanges that other nodes open.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Async;
+use async_io::Timer;
+use celeryshore_kernel::PeerReply;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_wire::ReplyFrame;
+use celeryshore_wire::RequestFrame;
+use futures_lite::FutureExt;
+
+use crate::Result;
+use crate::driver::Driver;
+use crate::error::Protocol;
+use crate::net;
+use crate::peers::frames::Frames;
+
+/// Time between two messages that a reply is still outstanding.
+const WORKING_INTERVAL: Duration = Duration::from_millis(250);
+/// A connection that is not even probed for this time is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Accepts connections until the task is dropped.
+pub(crate) async fn listen(driver: Arc<Driver>, listener: Async<TcpListener>) {
+    loop {
+        let Some(stream) = net::accept(&listener).await else {
+            continue;
+        };
+        let frames = Frames::new(stream);
+        driver.spawn(serve(driver.clone(), frames));
+    }
+}
+
+async fn serve(driver: Arc<Driver>, mut frames: Frames) {
+    loop {
+        let served = serve_one(&driver, &mut frames).await;
+        if let Err(err) = &served {
+            slog::debug!(driver.log(), "peers: connection closed"; "error" => %err);
+        }
+        if !matches!(served, Ok(Next::Read)) {
+            return;
+        }
+    }
+}
+
+/// What becomes of a connection.
+enum Next {
+    Read,
+    Close,
+}
+
+async fn serve_one(driver: &Arc<Driver>, frames: &mut Frames) -> Result<Next> {
+    let read = net::within(IDLE_TIMEOUT, frames.read()).await;
+    let Some(frame) = read.ok_or(Protocol::Timeout)?? else {
+        return Ok(Next::Close);
+    };
+    let reply = match RequestFrame::decode(frame)? {
+        RequestFrame::Ping => Some(ReplyFrame::Pong),
+        RequestFrame::Request(request) => decide(driver, frames, *request).await?,
+    };
+    let Some(reply) = reply else {
+        return Ok(Next::Close);
+    };
+    write(frames, reply).await?;
+    Ok(Next::Read)
+}
+
+/// Waits for the decision; nothing if the peer withdraws.
+async fn decide(
+    driver: &Arc<Driver>,
+    frames: &mut Frames,
+    request: PeerRequest,
+) -> Result<Option<ReplyFrame>> {
+    let (inbound, reply) = driver.receive(request);
+    loop {
+        match wait(frames, &reply).await {
+            Waited::Replied(reply) => return Ok(Some(ReplyFrame::Reply(reply))),
+            Waited::Interrupted => {
+                driver.withdraw(inbound);
+                return Ok(None);
+            }
+            Waited::Outstanding => {
+                if let Err(err) = write(frames, ReplyFrame::Working).await {
+                    driver.withdraw(inbound);
+                    return Err(err);
+                }
+            }
+        }
+    }
+}
+
+enum Waited {
+    Replied(PeerReply),
+    Interrupted,
+    Outstanding,
+}
+
+async fn wait(frames: &mut Frames, reply: &Receiver<PeerReply>) -> Waited {
+    let replied = async {
+        match reply.recv().await {
+            Ok(reply) => Waited::Replied(reply),
+            Err(_) => Waited::Interrupted,
+        }
+    };
+    let interrupted = async {
+        frames.interrupted().await;
+        Waited::Interrupted
+    };
+    let outstanding = async {
+        Timer::after(WORKING_INTERVAL).await;
+        Waited::Outstanding
+    };
+    replied.or(interrupted).or(outstanding).await
+}
+
+async fn write(frames: &Frames, reply: ReplyFrame) -> Result<()> {
+    let frame = reply.encode();
+    let written = net::within(WRITE_TIMEOUT, frames.write(&frame)).await;
+    Ok(written.ok_or(Protocol::Timeout)??)
+}
--- /dev/null
+++ b/crates/node/src/peers/mod.rs
@@ -0,0 +1,11 @@
+//! Exchanges with the nodes of other VMs.
+
+mod frames;
+mod inbound;
+mod outbound;
+mod pool;
+mod probe;
+
+pub(crate) use self::inbound::listen;
+pub(crate) use self::outbound::Peers;
+pub(crate) use self::probe::probe_idle;
--- /dev/null
+++ b/crates/node/src/peers/outbound.rs
@@ -0,0 +1,106 @@
+//! Exchanges that this node opens.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use celeryshore_kernel::PeerReply;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_kernel::Progress;
+use celeryshore_wire::ReplyFrame;
+use celeryshore_wire::RequestFrame;
+use serde_json::Value;
+
+use crate::net;
+use crate::peers::frames::Frames;
+use crate::peers::pool::PeerPool;
+
+/// A peer whose reply is outstanding says so more often than this.
+pub(super) const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Result of an exchange: the reply, or how far the request had got.
+type Result<T> = std::result::Result<T, Progress>;
+
+/// Connections to the nodes of other VMs.
+#[derive(Default)]
+pub(crate) struct Peers {
+    pub(super) pool: PeerPool,
+}
+
+impl Peers {
+    /// Sends a request to a peer and waits for its reply.
+    pub(crate) async fn exchange(
+        &self,
+        peer: SocketAddr,
+        request: PeerRequest,
+        deadline: Instant,
+    ) -> Result<PeerReply> {
+        let frame = RequestFrame::Request(Box::new(request)).encode();
+        let sent = net::until(deadline, self.open(peer, &frame)).await;
+        let (mut frames, written) = sent.ok_or(Progress::NeverSent)??;
+        let rest = finish(&mut frames, &frame[written..]);
+        let reply = net::until(deadline, rest).await;
+        match reply {
+            Some(Ok(reply)) => {
+                self.keep(peer, frames);
+                Ok(reply)
+            }
+            Some(Err(Failure::Broken)) => Err(Progress::MaybeSent),
+            Some(Err(Failure::Silent)) | None => {
+                self.pool.clear(peer);
+                Err(Progress::MaybeSent)
+            }
+        }
+    }
+
+    /// Writes the first bytes of a frame on a connection that takes them.
+    async fn open(&self, peer: SocketAddr, frame: &Bytes) -> Result<(Frames, usize)> {
+        while let Some(stream) = self.pool.take(peer) {
+            let frames = Frames::new(stream);
+            if let Ok(written) = frames.write_some(frame).await {
+                return Ok((frames, written));
+            }
+        }
+        let stream = net::connect(peer).await.map_err(|_| Progress::NeverSent)?;
+        let frames = Frames::new(stream);
+        let written = frames.write_some(frame).await;
+        let written = written.map_err(|_| Progress::NeverSent)?;
+        Ok((frames, written))
+    }
+
+    fn keep(&self, peer: SocketAddr, frames: Frames) {
+        if let Some(stream) = frames.into_idle() {
+            self.pool.keep(peer, stream);
+        }
+    }
+
+    /// Describes the idle connections for the state dump.
+    pub(crate) fn dump(&self) -> Value {
+        self.pool.dump()
+    }
+}
+
+enum Failure {
+    Broken,
+    Silent,
+}
+
+async fn finish(frames: &mut Frames, rest: &[u8]) -> std::result::Result<PeerReply, Failure> {
+    let written = net::within(PROGRESS_TIMEOUT, frames.write(rest)).await;
+    written
+        .ok_or(Failure::Silent)?
+        .map_err(|_| Failure::Broken)?;
+    loop {
+        if let ReplyFrame::Reply(reply) = next(frames).await? {
+            return Ok(reply);
+        }
+    }
+}
+
+async fn next(frames: &mut Frames) -> std::result::Result<ReplyFrame, Failure> {
+    let read = net::within(PROGRESS_TIMEOUT, frames.read()).await;
+    let frame = read.ok_or(Failure::Silent)?.map_err(|_| Failure::Broken)?;
+    let frame = frame.ok_or(Failure::Broken)?;
+    ReplyFrame::decode(frame).map_err(|_| Failure::Broken)
+}
--- /dev/null
+++ b/crates/node/src/settings/check.rs
@@ -0,0 +1,76 @@
+//! What the settings as a whole have to satisfy.
+
+use std::net::SocketAddr;
+
+use celeryshore_model::ByteSize;
+
+use crate::Error;
+use crate::Result;
+use crate::Settings;
+use crate::settings::PortName;
+
+/// The HTTP codec reads no longer header.
+const MAX_HEADER: ByteSize = ByteSize::new(8 * 1_024 - 1);
+const MAX_BODY: ByteSize = ByteSize::new(64 * 1_024 * 1_024);
+const MAX_THREADS: usize = 64;
+
+/// Checks what no single key shows.
+pub(super) fn check(settings: &Settings) -> Result<()> {
+    check_addresses(settings)?;
+    check_limits(settings)?;
+    if settings.platform.addresses.is_empty() {
+        return Err(Error::range("platform.addresses", "at least one address"));
+    }
+    if settings.platform.key.is_empty() {
+        return Err(Error::range("platform.key", "the key of the rules text"));
+    }
+    if settings.threads == 0 || settings.threads > MAX_THREADS {
+        return Err(Error::range("threads", "a number from 1 to 64"));
+    }
+    Ok(())
+}
+
+fn check_addresses(settings: &Settings) -> Result<()> {
+    let ports = [
+        (PortName::Callers, settings.callers),
+        (PortName::Peer, settings.peer),
+        (PortName::Control, settings.control),
+        (PortName::Operators, settings.operators),
+        (PortName::Target, settings.target),
+    ];
+    for (i, (left, addr)) in ports.iter().enumerate() {
+        let clash = ports[i + 1..]
+            .iter()
+            .find(|(_, other)| clashes(*addr, *other));
+        if let Some((right, _)) = clash {
+            return Err(Error::clash(*left, *right, *addr));
+        }
+    }
+    Ok(())
+}
+
+/// Port 0 stands for any free port and clashes with none.
+fn clashes(left: SocketAddr, right: SocketAddr) -> bool {
+    let any = left.ip().is_unspecified() || right.ip().is_unspecified();
+    left.port() != 0 && left.port() == right.port() && (any || left.ip() == right.ip())
+}
+
+fn check_limits(settings: &Settings) -> Result<()> {
+    let limits = &settings.limits;
+    if limits.header.get() == 0 || limits.header.get() > MAX_HEADER.get() {
+        return Err(Error::range("limits.header", "a size from 1B to 8191B"));
+    }
+    if limits.body.get() > MAX_BODY.get() {
+        return Err(Error::range("limits.body", "a size of at most 64MiB"));
+    }
+    if limits.connections == 0 {
+        return Err(Error::range(
+            "limits.connections",
+            "at least one connection",
+        ));
+    }
+    if limits.idle.is_zero() {
+        return Err(Error::range("limits.idle", "a time such as 30s"));
+    }
+    Ok(())
+}
--- a/crates/wire/src/reason.rs
+++ b/crates/wire/src/reason.rs
@@ -22,7 +22,7 @@
             NotRun::TargetDown => Self::TargetDown,
             NotRun::Poison => Self::Poison,
             NotRun::KeyReused => Self::KeyReused,
-            NotRun::KeyExpired => Self::KeyExpired,
+            NotRun::BadKey => Self::BadKey,
             NotRun::JournalFull => Self::JournalFull,
             NotRun::NoUpstream => Self::NoUpstream,
             NotRun::NoRoute => Self::NoRoute,
@@ -49,7 +49,7 @@
             raw::NotRunReason::TargetDown => Ok(Self::TargetDown),
             raw::NotRunReason::Poison => Ok(Self::Poison),
             raw::NotRunReason::KeyReused => Ok(Self::KeyReused),
-            raw::NotRunReason::KeyExpired => Ok(Self::KeyExpired),
+            raw::NotRunReason::BadKey => Ok(Self::BadKey),
             raw::NotRunReason::JournalFull => Ok(Self::JournalFull),
             raw::NotRunReason::NoUpstream => Ok(Self::NoUpstream),
             raw::NotRunReason::NoRoute => Ok(Self::NoRoute),
@@ -71,6 +71,8 @@
             Unknown::WitnessRestarted => Self::WitnessRestarted,
             Unknown::Superseded => Self::Superseded,
             Unknown::AnswerGone => Self::AnswerGone,
+            Unknown::KeyExpired => Self::KeyExpired,
+            Unknown::NotJudged => Self::NotJudged,
         }
     }
 }
@@ -87,6 +89,8 @@
             raw::UnknownReason::WitnessRestarted => Ok(Self::WitnessRestarted),
             raw::UnknownReason::Superseded => Ok(Self::Superseded),
             raw::UnknownReason::AnswerGone => Ok(Self::AnswerGone),
+            raw::UnknownReason::KeyExpired => Ok(Self::KeyExpired),
+            raw::UnknownReason::NotJudged => Ok(Self::NotJudged),
             raw::UnknownReason::Unspecified => Err(Error::value("reason")),
         }
     }
