Serve operators and drive the joined decisions

Cause: operators could see nothing of a node, and the driver drove only the decisions about requests. Change: operators' port with /alive, /ready, /status, /metrics, /dump and /dump/SECTION. The driver drives the whole kernel; actions of membership and configuration other than wake-ups come in order through a channel.

--- a/crates/node/src/callers/answer.rs
+++ b/crates/node/src/callers/answer.rs
@@ -13,8 +13,8 @@
 /// Field that says why there is no answer of the target.
 pub(super) const REASON: &str = "celeryshore-reason";
 pub(super) const NOT_RUN: &str = "not-run";
-const ANSWERED: &str = "answered";
-const UNKNOWN: &str = "unknown";
+pub(super) const ANSWERED: &str = "answered";
+pub(super) const UNKNOWN: &str = "unknown";
 const RETRY_AFTER: &str = "retry-after";
 const RETRY_AFTER_MS: &str = "retry-after-ms";
 
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use celeryshore_kernel::Answer;
@@ -12,6 +13,7 @@
 use crate::callers::Callers;
 use crate::callers::answer;
 use crate::callers::gate::Pass;
+use crate::callers::record;
 use crate::callers::refusal::Refusal;
 use crate::error::Protocol;
 use crate::http;
@@ -51,15 +53,18 @@
         Ok(None) => return Ok(Next::Close),
         Err(err) => {
             if let Some(refusal) = Refusal::of(&err) {
+                record::record_refusal(refusal);
                 write(callers, conn, &refusal.encode().await).await?;
             }
             return Err(err);
         }
     };
     let method = incoming.request.method.clone();
+    let start = Instant::now();
     let Some(answer) = decide(callers, conn, incoming.request).await else {
         return Ok(Next::Close);
     };
+    record::record(&answer, start);
     let closes = incoming.closes || pass.is_closing();
     let response = answer::response(answer);
     let bytes = http::encode_response(&response, &method, closes).await?;
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connection;
 mod gate;
+mod record;
 mod refusal;
 
 use std::net::TcpListener;
@@ -44,6 +45,7 @@
 
 async fn refuse(stream: Stream) {
     let conn = Connection::new(stream);
+    record::record_refusal(Refusal::Connections);
     let bytes = Refusal::Connections.encode().await;
     let _ = net::within(REFUSAL_TIMEOUT, conn.write(&bytes)).await;
 }
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -14,16 +14,20 @@
 use async_channel::Sender;
 use async_executor::StaticExecutor;
 use async_executor::Task;
+use celeryshore_kernel::Action;
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
+use celeryshore_kernel::Event;
 use celeryshore_kernel::ExchangeId;
+use celeryshore_kernel::FleetAction;
+use celeryshore_kernel::FleetEvent;
 use celeryshore_kernel::InboundId;
+use celeryshore_kernel::Kernel;
+use celeryshore_kernel::KernelConfig;
 use celeryshore_kernel::PeerReply;
 use celeryshore_kernel::PeerRequest;
 use celeryshore_kernel::RequestAction;
 use celeryshore_kernel::RequestEvent;
-use celeryshore_kernel::Requests;
-use celeryshore_kernel::RequestsConfig;
 use celeryshore_kernel::WorkId;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Snapshot;
@@ -46,7 +50,9 @@
     vm: VmName,
     pub(crate) peers: Arc<Peers>,
     pub(crate) target: Arc<Target>,
-    wake: Wake,
+    request_wake: Wake,
+    fleet_wake: Wake,
+    fleet_actions: (Sender<FleetAction>, Receiver<FleetAction>),
     drained: (Sender<()>, Receiver<()>),
     state: Mutex<State>,
 }
@@ -54,25 +60,25 @@
 /// The decisions, and what waits for their actions. Actions are carried out
 /// under the lock, so that their order is that of the decisions.
 struct State {
-    requests: Requests,
+    kernel: Kernel,
     pending: Pending,
-    actions: Vec<RequestAction>,
+    actions: Vec<Action>,
 }
 
 /// What a driver is made of.
 pub(crate) struct DriverParts {
     pub(crate) ex: &'static StaticExecutor,
     pub(crate) log: Logger,
-    pub(crate) cfg: RequestsConfig,
+    pub(crate) cfg: KernelConfig,
     pub(crate) target: Target,
 }
 
 impl Driver {
     pub(crate) fn new(parts: DriverParts) -> Self {
         let clock = Clock::start();
-        let vm = parts.cfg.vm.clone();
+        let vm = parts.cfg.requests.vm.clone();
         let state = State {
-            requests: Requests::new(parts.cfg, clock.now()),
+            kernel: Kernel::new(parts.cfg, clock.now()),
             pending: Pending::default(),
             actions: Vec::new(),
         };
@@ -83,7 +89,9 @@
             vm,
             peers: Arc::default(),
             target: Arc::new(parts.target),
-            wake: Wake::default(),
+            request_wake: Wake::default(),
+            fleet_wake: Wake::default(),
+            fleet_actions: async_channel::unbounded(),
             drained: async_channel::bounded(1),
             state: Mutex::new(state),
         }
@@ -98,15 +106,15 @@
     }
 
     /// Takes one event and carries out what is decided.
-    pub(crate) fn handle(self: &Arc<Self>, event: RequestEvent) {
-        self.handle_locked(&mut self.lock(), event);
+    pub(crate) fn handle(self: &Arc<Self>, event: impl Into<Event>) {
+        self.handle_locked(&mut self.lock(), event.into());
     }
 
     /// Takes a caller's request; the answer comes through the receiver.
     pub(crate) fn arrive(self: &Arc<Self>, request: HttpRequest) -> (CallId, Receiver<Answer>) {
         let mut state = self.lock();
         let (call, answer) = state.pending.add_call();
-        self.handle_locked(&mut state, RequestEvent::Arrived { call, request });
+        self.handle_locked(&mut state, RequestEvent::Arrived { call, request }.into());
         (call, answer)
     }
 
@@ -114,7 +122,7 @@
     pub(crate) fn cancel(self: &Arc<Self>, call: CallId) {
         let mut state = self.lock();
         state.pending.remove_call(call);
-        self.handle_locked(&mut state, RequestEvent::Cancelled { call });
+        self.handle_locked(&mut state, RequestEvent::Cancelled { call }.into());
     }
 
     /// Takes a peer's request; the reply comes through the receiver.
@@ -124,7 +132,10 @@
     ) -> (InboundId, Receiver<PeerReply>) {
         let mut state = self.lock();
         let (inbound, reply) = state.pending.add_inbound();
-        self.handle_locked(&mut state, RequestEvent::Received { inbound, request });
+        self.handle_locked(
+            &mut state,
+            RequestEvent::Received { inbound, request }.into(),
+        );
         (inbound, reply)
     }
 
@@ -132,39 +143,72 @@
     pub(crate) fn withdraw(self: &Arc<Self>, inbound: InboundId) {
         let mut state = self.lock();
         state.pending.remove_inbound(inbound);
-        self.handle_locked(&mut state, RequestEvent::Withdrawn { inbound });
+        self.handle_locked(&mut state, RequestEvent::Withdrawn { inbound }.into());
     }
 
-    /// Puts a configuration in force.
-    pub(crate) fn configure(self: &Arc<Self>, snapshot: Arc<Snapshot>) {
-        if let Some(limits) = target_limits(&snapshot, &self.vm) {
-            self.target.set_limits(limits);
-        }
-        self.handle(RequestEvent::Configured(snapshot));
+    /// Reads the decisions.
+    pub(crate) fn inspect<T>(&self, read: impl FnOnce(&Kernel) -> T) -> T {
+        read(&self.lock().kernel)
     }
 
-    /// Sends ticks when they are due, until the task is dropped.
-    pub(crate) async fn tick(self: Arc<Self>) {
+    /// Returns the actions of membership and configuration, in their order, that
+    /// the driver does not carry out itself.
+    pub(crate) fn fleet_actions(&self) -> Receiver<FleetAction> {
+        self.fleet_actions.1.clone()
+    }
+
+    /// Sends ticks about requests when they are due, until the task is dropped.
+    pub(crate) async fn tick_requests(self: Arc<Self>) {
+        self.handle(RequestEvent::Tick);
         loop {
-            self.wake.due(&self.clock).await;
+            self.request_wake.due(&self.clock).await;
             self.handle(RequestEvent::Tick);
         }
     }
 
+    /// Sends ticks about the fleet when they are due, until the task is dropped.
+    pub(crate) async fn tick_fleet(self: Arc<Self>) {
+        self.handle(FleetEvent::Tick);
+        loop {
+            self.fleet_wake.due(&self.clock).await;
+            self.handle(FleetEvent::Tick);
+        }
+    }
+
     /// Waits until all work is finished after a drain.
     pub(crate) async fn drained(&self) {
         let _ = self.drained.1.recv().await;
     }
 
-    fn handle_locked(self: &Arc<Self>, state: &mut State, event: RequestEvent) {
+    fn handle_locked(self: &Arc<Self>, state: &mut State, event: Event) {
         let mut actions = std::mem::take(&mut state.actions);
-        state.requests.handle(self.clock.now(), event, &mut actions);
+        state.kernel.handle(self.clock.now(), event, &mut actions);
         for action in actions.drain(..) {
-            self.carry_out(&mut state.pending, action);
+            match action {
+                Action::Fleet(action) => self.carry_out_fleet(action),
+                Action::Request(action) => self.carry_out(&mut state.pending, action),
+            }
         }
         state.actions = actions;
     }
 
+    fn carry_out_fleet(&self, action: FleetAction) {
+        match action {
+            FleetAction::WakeAt(time) => self.fleet_wake.at(time),
+            FleetAction::Configured(snapshot) => self.configured(&snapshot),
+            action => {
+                let _ = self.fleet_actions.0.try_send(action);
+            }
+        }
+    }
+
+    fn configured(&self, snapshot: &Snapshot) {
+        slog::info!(self.log, "node: version in force"; "version" => %snapshot.version);
+        if let Some(limits) = target_limits(snapshot, &self.vm) {
+            self.target.set_limits(limits);
+        }
+    }
+
     fn carry_out(self: &Arc<Self>, pending: &mut Pending, action: RequestAction) {
         match action {
             RequestAction::Answer { call, answer } => pending.answer(call, answer),
@@ -189,8 +233,9 @@
                 pending.add_work(work, task);
             }
             RequestAction::Abort { work } => pending.remove_work(work),
+            // The fleet's decisions act on it.
             RequestAction::CatchUp { .. } => {}
-            RequestAction::WakeAt(time) => self.wake.at(time),
+            RequestAction::WakeAt(time) => self.request_wake.at(time),
             RequestAction::Drained => {
                 let _ = self.drained.0.try_send(());
             }
@@ -214,7 +259,7 @@
             };
             let mut state = driver.lock();
             state.pending.end_exchange(exchange);
-            driver.handle_locked(&mut state, event);
+            driver.handle_locked(&mut state, event.into());
         })
     }
 
@@ -225,7 +270,7 @@
             let outcome = driver.target.run(request, deadline).await;
             let mut state = driver.lock();
             state.pending.end_work(work);
-            driver.handle_locked(&mut state, RequestEvent::Finished { work, outcome });
+            driver.handle_locked(&mut state, RequestEvent::Finished { work, outcome }.into());
         })
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod log;
 mod net;
 mod node;
+mod operators;
 mod options;
 mod peers;
 mod settings;
--- /dev/null
+++ b/crates/node/src/operators/dump.rs
@@ -0,0 +1,46 @@
+//! Whole state of the process as JSON, by sections.
+
+use celeryshore_kernel::Kernel;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::callers::Callers;
+
+/// The section of the process itself, beside those that parts register.
+const CONNECTIONS: &str = "connections";
+
+/// Renders all sections.
+pub(super) fn dump(callers: &Callers) -> Value {
+    let render = |kernel: &Kernel| -> Map<String, Value> {
+        celeryshore_kernel::sections()
+            .map(|section| (section.name.to_owned(), (section.render)(kernel)))
+            .collect()
+    };
+    let mut sections = callers.driver.inspect(render);
+    sections.insert(CONNECTIONS.to_owned(), connections(callers));
+    Value::Object(sections)
+}
+
+/// Renders one section; nothing if there is none of this name.
+pub(super) fn dump_section(callers: &Callers, name: &str) -> Option<Value> {
+    if name == CONNECTIONS {
+        return Some(connections(callers));
+    }
+    callers.driver.inspect(|kernel| render(kernel, name))
+}
+
+/// Renders a section that a part registered.
+pub(super) fn render(kernel: &Kernel, name: &str) -> Option<Value> {
+    celeryshore_kernel::sections()
+        .find(|section| section.name == name)
+        .map(|section| (section.render)(kernel))
+}
+
+fn connections(callers: &Callers) -> Value {
+    json!({
+        "callers": callers.gate.count(),
+        "peers": callers.driver.peers.dump(),
+        "target": callers.driver.target.dump(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/operators/metrics.rs
@@ -0,0 +1,94 @@
+//! Metrics in the text form of Prometheus.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use async_io::Timer;
+use celeryshore_kernel::Kernel;
+use celeryshore_kernel::TrafficKind;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use metrics_process::Collector;
+
+use crate::callers::Callers;
+
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Upper ends of the buckets of call times, in seconds.
+const CALL_BUCKETS: [f64; 12] = [
+    0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
+];
+
+/// The process has one recorder, whoever starts first.
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Metrics of the process.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    recorder: PrometheusHandle,
+    process: Collector,
+}
+
+impl Metrics {
+    pub(crate) fn install() -> Self {
+        let recorder = RECORDER.get_or_init(install).clone();
+        let process = Collector::default();
+        process.describe();
+        Self { recorder, process }
+    }
+
+    /// Bounds the memory of the recorder, until the task is dropped.
+    pub(crate) async fn upkeep(self) {
+        loop {
+            Timer::after(UPKEEP_INTERVAL).await;
+            self.recorder.run_upkeep();
+        }
+    }
+
+    pub(super) fn render(&self, callers: &Callers) -> String {
+        self.process.collect();
+        callers.driver.inspect(set_kernel_gauges);
+        metrics::gauge!("celeryshore_caller_connections").set(to_f64(callers.gate.count() as u64));
+        self.recorder.render()
+    }
+}
+
+fn install() -> PrometheusHandle {
+    let builder = PrometheusBuilder::new();
+    let builder = builder
+        .set_buckets(&CALL_BUCKETS)
+        .unwrap_or_else(|_| PrometheusBuilder::new());
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    let _ = metrics::set_global_recorder(recorder);
+    handle
+}
+
+fn set_kernel_gauges(kernel: &Kernel) {
+    let status = kernel.fleet.status();
+    metrics::gauge!("celeryshore_version_index").set(to_f64(kernel.fleet.version().index.0));
+    metrics::gauge!("celeryshore_reader").set(f64::from(u8::from(status.reader)));
+    metrics::counter!("celeryshore_source_calls_total").absolute(status.source_calls);
+    if let Some(age) = status.view_age {
+        metrics::gauge!("celeryshore_view_age_seconds").set(age.as_secs_f64());
+    }
+    for (state, count) in status.members {
+        metrics::gauge!("celeryshore_members", "state" => state.to_string())
+            .set(to_f64(count as u64));
+    }
+    for (kind, count) in status.traffic {
+        set_traffic(kind, count.bytes);
+    }
+}
+
+fn set_traffic(kind: TrafficKind, bytes: u64) {
+    metrics::counter!("celeryshore_control_sent_bytes_total", "kind" => kind.to_string())
+        .absolute(bytes);
+}
+
+/// Counts beyond 2^53 lose their last digits.
+fn to_f64(count: u64) -> f64 {
+    const HALF_BITS: u32 = 32;
+    let high = u32::try_from(count >> HALF_BITS).unwrap_or(u32::MAX);
+    let low = u32::try_from(count & u64::from(u32::MAX)).unwrap_or(u32::MAX);
+    f64::from(high) * 4_294_967_296.0 + f64::from(low)
+}
--- /dev/null
+++ b/crates/node/src/operators/mod.rs
@@ -0,0 +1,111 @@
+//! Operators' port: health, metrics, status and the state dump.
+
+mod dump;
+mod metrics;
+mod page;
+mod status;
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Async;
+use celeryshore_model::ByteSize;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::HttpResponse;
+
+use self::dump::dump;
+use self::dump::dump_section;
+pub(crate) use self::metrics::Metrics;
+use self::page::Page;
+use self::status::Status;
+use crate::Result;
+use crate::callers::Callers;
+use crate::error::Protocol;
+use crate::http;
+use crate::http::Connection;
+use crate::http::MessageLimits;
+use crate::net;
+use crate::net::Stream;
+
+const LIMITS: MessageLimits = MessageLimits {
+    header: ByteSize::new(4 * 1_024),
+    body: ByteSize::new(4 * 1_024),
+};
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What the connections of operators share.
+pub(crate) struct Operators {
+    pub(crate) callers: Arc<Callers>,
+    pub(crate) metrics: Metrics,
+}
+
+/// Accepts connections until the task is dropped.
+pub(crate) async fn listen(operators: Arc<Operators>, listener: Async<TcpListener>) {
+    loop {
+        let Some(stream) = net::accept(&listener).await else {
+            continue;
+        };
+        let served = serve(operators.clone(), stream);
+        operators.callers.driver.spawn(served);
+    }
+}
+
+async fn serve(operators: Arc<Operators>, stream: Stream) {
+    let mut conn = Connection::new(stream);
+    while let Ok(Next::Read) = serve_one(&operators, &mut conn).await {}
+}
+
+/// What becomes of a connection.
+enum Next {
+    Read,
+    Close,
+}
+
+async fn serve_one(operators: &Operators, conn: &mut Connection) -> Result<Next> {
+    let read = net::within(IDLE_TIMEOUT, http::read_request(conn, LIMITS)).await;
+    let Some(incoming) = read.ok_or(Protocol::Timeout)?? else {
+        return Ok(Next::Close);
+    };
+    let request = incoming.request;
+    let response = answer(operators, &request);
+    let bytes = http::encode_response(&response, &request.method, incoming.closes).await?;
+    let written = net::within(IDLE_TIMEOUT, conn.write(&bytes)).await;
+    written.ok_or(Protocol::Timeout)??;
+    Ok(if incoming.closes {
+        Next::Close
+    } else {
+        Next::Read
+    })
+}
+
+fn answer(operators: &Operators, request: &HttpRequest) -> HttpResponse {
+    let path = std::str::from_utf8(&request.path).unwrap_or_default();
+    let path = path.split('?').next().unwrap_or_default();
+    let page = match path {
+        "/alive" => Page::text("alive\n"),
+        "/ready" => ready(operators),
+        "/metrics" => Page::text(operators.metrics.render(&operators.callers)),
+        "/status" => Page::json(&Status::of(&operators.callers.driver)),
+        "/dump" => Page::json(&dump(&operators.callers)),
+        _ => match path.strip_prefix("/dump/") {
+            Some(name) => section(operators, name),
+            None => Page::NotFound,
+        },
+    };
+    page.into()
+}
+
+fn ready(operators: &Operators) -> Page {
+    if Status::of(&operators.callers.driver).is_ready() {
+        return Page::text("ready\n");
+    }
+    Page::NotReady
+}
+
+fn section(operators: &Operators, name: &str) -> Page {
+    match dump_section(&operators.callers, name) {
+        Some(value) => Page::json(&value),
+        None => Page::NotFound,
+    }
+}
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -6,6 +6,8 @@
 
 use async_io::Timer;
 use bytes::Bytes;
+use celeryshore_kernel::FleetAction;
+use celeryshore_kernel::RequestEvent;
 use celeryshore_model::ByteSize;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
@@ -80,6 +82,16 @@
     })
 }
 
+/// Logs what operators may want to know, until the task is dropped.
+pub(crate) async fn log_reports(driver: Arc<Driver>) {
+    let actions = driver.fleet_actions();
+    while let Ok(action) = actions.recv().await {
+        if let FleetAction::Report(report) = action {
+            slog::info!(driver.log(), "fleet: {}", report);
+        }
+    }
+}
+
 /// Watches the rules and puts each good version in force, until the task is dropped.
 pub(crate) async fn watch(driver: Arc<Driver>, platform: PlatformSettings) {
     let mut known = None;
@@ -100,10 +112,7 @@
 
 fn judge(driver: &Arc<Driver>, value: &Value) {
     match celeryshore_rules::from_slice(&value.value, value.index) {
-        Ok(snapshot) => {
-            slog::info!(driver.log(), "source: version in force"; "version" => %snapshot.version);
-            driver.configure(Arc::new(snapshot));
-        }
+        Ok(snapshot) => driver.handle(RequestEvent::Configured(Arc::new(snapshot))),
         Err(err) => {
             slog::error!(driver.log(), "source: version refused"; "error" => %err);
         }
