Test the node process and the exchange protocol

Cause: nothing tested the process around the decisions. Settings errors of limits now name the key and not only its line. Conclusion: /ready and /status after start-up are not tested before the configuration service runs.

--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -1,7 +1,6 @@
 //! One connection of a caller.
 
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use async_io::Timer;
@@ -11,6 +10,7 @@
 
 use crate::Result;
 use crate::callers::Callers;
+use crate::callers::LEAVING_GRACE;
 use crate::callers::answer;
 use crate::callers::gate::Pass;
 use crate::callers::record;
@@ -23,10 +23,6 @@
 use crate::net;
 use crate::net::Stream;
 
-/// Time that an idle connection of a leaving node stays open, so that a request
-/// on its way to it is answered.
-const LEAVING_GRACE: Duration = Duration::from_secs(1);
-
 /// Serves the requests of one connection, one after the other.
 pub(super) async fn serve(callers: Arc<Callers>, stream: Stream, pass: Pass) {
     let mut conn = Connection::new(stream);
--- a/crates/node/src/callers/gate.rs
+++ b/crates/node/src/callers/gate.rs
@@ -2,46 +2,47 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use async_channel::Receiver;
 use async_channel::Sender;
 
-/// Counts the connections of callers. Once it is shut, idle ones close.
+/// Counts the connections of callers. Once it closes, they end one by one.
 pub(crate) struct Gate {
     passes: Arc<Mutex<usize>>,
     open: Mutex<Option<Sender<()>>>,
-    shut: Receiver<()>,
-    /// Every pass holds a sender, so that this closes with the last of them.
-    left: Receiver<()>,
-    leaving: Mutex<Option<Sender<()>>>,
+    closing: Receiver<()>,
+    /// Every pass holds a sender, so that the receiver ends with the last of them.
+    held: Mutex<Option<Sender<()>>>,
+    emptied: Receiver<()>,
 }
 
 /// A connection that is counted until this is dropped.
 pub(crate) struct Pass {
     passes: Arc<Mutex<usize>>,
-    shut: Receiver<()>,
-    _leaving: Sender<()>,
+    closing: Receiver<()>,
+    _held: Sender<()>,
 }
 
 impl Default for Gate {
     fn default() -> Self {
-        let (open, shut) = async_channel::bounded(1);
-        let (leaving, left) = async_channel::bounded(1);
+        let (open, closing) = async_channel::bounded(1);
+        let (held, emptied) = async_channel::bounded(1);
         Self {
             passes: Arc::default(),
             open: Mutex::new(Some(open)),
-            shut,
-            left,
-            leaving: Mutex::new(Some(leaving)),
+            closing,
+            held: Mutex::new(Some(held)),
+            emptied,
         }
     }
 }
 
 impl Gate {
-    /// Lets a connection in, unless there are `limit` already or it is shut.
+    /// Lets a connection in, unless there are `limit` already or all have ended.
     pub(crate) fn enter(&self, limit: usize) -> Option<Pass> {
-        let leaving = lock(&self.leaving).clone()?;
+        let held = lock(&self.held).clone()?;
         let mut passes = lock(&self.passes);
         if *passes >= limit {
             return None;
@@ -49,20 +50,20 @@
         *passes += 1;
         Some(Pass {
             passes: self.passes.clone(),
-            shut: self.shut.clone(),
-            _leaving: leaving,
+            closing: self.closing.clone(),
+            _held: held,
         })
     }
 
-    /// Closes idle connections, and the others after their answer.
-    pub(crate) fn shut(&self) {
+    /// Ends connections: idle ones soon, and the others after their answer.
+    pub(crate) fn close(&self) {
         lock(&self.open).take();
-        lock(&self.leaving).take();
     }
 
-    /// Waits until no connection is left after [`Self::shut`].
+    /// Lets nothing in any more, and waits until no connection is left.
     pub(crate) async fn emptied(&self) {
-        let _ = self.left.recv().await;
+        lock(&self.held).take();
+        let _ = self.emptied.recv().await;
     }
 
     /// Returns the number of open connections.
@@ -72,14 +73,14 @@
 }
 
 impl Pass {
-    /// Waits until the gate is shut.
+    /// Waits until the gate closes.
     pub(crate) async fn closing(&self) {
-        let _ = self.shut.recv().await;
+        let _ = self.closing.recv().await;
     }
 
-    /// Tells whether the gate is shut.
+    /// Tells whether the gate closes.
     pub(crate) fn is_closing(&self) -> bool {
-        self.shut.is_closed()
+        self.closing.is_closed()
     }
 }
 
@@ -89,6 +90,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -21,6 +21,9 @@
 use crate::net::Stream;
 use crate::settings::SettingsLimits;
 
+/// Time that a leaving node keeps idle connections and accepts new ones, so that
+/// a request on its way is answered.
+pub(crate) const LEAVING_GRACE: Duration = Duration::from_secs(1);
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the connections of callers share.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use async_executor::StaticExecutor;
 use async_executor::Task;
 use async_io::Async;
+use async_io::Timer;
 use celeryshore_kernel::FleetConfig;
 use celeryshore_kernel::KernelConfig;
 use celeryshore_kernel::RequestEvent;
@@ -20,6 +21,7 @@
 use crate::callers;
 use crate::callers::Callers;
 use crate::callers::Gate;
+use crate::callers::LEAVING_GRACE;
 use crate::clock::Clock;
 use crate::driver::Driver;
 use crate::driver::DriverParts;
@@ -107,16 +109,20 @@
     }
 
     /// Takes no new work, finishes what is under way, and ends.
+    ///
+    /// For a short time connections are still accepted, so that callers that were
+    /// on their way get a refusal instead of a broken connection.
     pub async fn drain(self) {
         let driver = &self.callers.driver;
         slog::info!(driver.log(), "node: draining");
+        self.callers.gate.close();
         driver.handle(RequestEvent::Drain);
-        drop(self.accepting);
+        Timer::after(LEAVING_GRACE).await;
         driver.drained().await;
-        self.callers.gate.shut();
+        drop(self.accepting);
         self.callers.gate.emptied().await;
         drop(self.tasks);
-        slog::info!(self.callers.driver.log(), "node: drained");
+        slog::info!(driver.log(), "node: drained");
     }
 }
 
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -1,5 +1,6 @@
 //! Bounds at the callers' port.
 
+use std::fmt::Display;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -18,15 +19,15 @@
 #[serde(default, deny_unknown_fields)]
 pub struct SettingsLimits {
     /// Longest header of a request; a longer one is answered with 431.
-    #[serde(deserialize_with = "from_text")]
+    #[serde(deserialize_with = "header")]
     pub header: ByteSize,
     /// Longest body of a request; a longer one is answered with 413.
-    #[serde(deserialize_with = "from_text")]
+    #[serde(deserialize_with = "body")]
     pub body: ByteSize,
     /// Connections of callers; one more is answered with 503 and closed.
     pub connections: usize,
     /// Time after which a connection without progress is closed.
-    #[serde(with = "humantime_serde")]
+    #[serde(deserialize_with = "idle")]
     pub idle: Duration,
 }
 
@@ -41,10 +42,28 @@
     }
 }
 
-fn from_text<'de, D, T>(d: D) -> Result<T, D::Error>
+fn header<'de, D: Deserializer<'de>>(d: D) -> Result<ByteSize, D::Error> {
+    named("header", ByteSize::from_str, d)
+}
+
+fn body<'de, D: Deserializer<'de>>(d: D) -> Result<ByteSize, D::Error> {
+    named("body", ByteSize::from_str, d)
+}
+
+fn idle<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+    named("idle", humantime::parse_duration, d)
+}
+
+/// Parses a value; the error names its key, which the codec leaves out.
+fn named<'de, D, T, E>(
+    key: &str,
+    parse: impl FnOnce(&str) -> Result<T, E>,
+    d: D,
+) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
-    T: FromStr<Err = celeryshore_model::Error>,
+    E: Display,
 {
-    String::deserialize(d)?.parse().map_err(de::Error::custom)
+    let text = String::deserialize(d)?;
+    parse(&text).map_err(|err| de::Error::custom(format_args!("{key}: {err}")))
 }
--- /dev/null
+++ b/crates/node/tests/bad_input.rs
@@ -0,0 +1,184 @@
+//! Malformed input at the callers' and the peers' port, and from the target.
+
+use std::net::SocketAddr;
+
+use celeryshore_node::Node;
+
+use crate::support;
+use crate::support::Caller;
+use crate::support::Fake;
+use crate::support::Vm;
+use crate::support::call;
+use crate::support::reply_ok;
+
+/// A node with its own target only.
+fn node(more: &str, answer: fn(&str) -> Vec<u8>) -> (Node, Vm) {
+    let vm = Vm::next();
+    support::start_platform(vm, support::rules(&[vm]));
+    Fake::target(vm, answer);
+    let node = support::start(&support::settings(vm, vm, more));
+    (node, vm)
+}
+
+fn hello(_: &str) -> Vec<u8> {
+    reply_ok("hello")
+}
+
+fn status_of(node: SocketAddr, bytes: impl AsRef<[u8]>) -> u16 {
+    let mut caller = Caller::connect(node);
+    caller.send(bytes);
+    let response = caller.receive().expect("an answer");
+    assert_eq!(response.outcome(), Some("not-run"));
+    assert!(caller.is_closed());
+    response.status()
+}
+
+fn still_serves(node: SocketAddr) {
+    let response = call(node, "GET", "/stock", "");
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.body, "hello");
+}
+
+#[test]
+fn malformed_requests() {
+    let (_node, vm) = node("", hello);
+    for bytes in [
+        "nonsense\r\n\r\n",
+        "GET /stock HTTP/1.1\r\n\r\n",
+        "GET /stock HTTP/1.0\r\nhost: a\r\n\r\n",
+        "GET /stock HTTP/1.1\r\nhost: a\r\nname: caf\u{e9}\r\n\r\n",
+        "GET /stock HTTP/1.1\r\nhost: a\r\nno colon\r\n\r\n",
+        "GET /a/../stock HTTP/1.1\r\nhost: a\r\n\r\n",
+        "POST /stock HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+        "POST /stock HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "POST /stock HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n",
+        "POST /stock HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip\r\n\r\n",
+        "POST /stock HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+    ] {
+        assert_eq!(status_of(vm.callers(), bytes), 400, "{bytes}");
+    }
+    still_serves(vm.callers());
+}
+
+#[test]
+fn long_header() {
+    let (_node, vm) = node("", hello);
+    let long = format!("GET /stock HTTP/1.1\r\nname: {}", "x".repeat(9_000));
+    assert_eq!(status_of(vm.callers(), long), 431);
+    still_serves(vm.callers());
+}
+
+#[test]
+fn long_body() {
+    let (_node, vm) = node("limits: {body: 1KiB}\n", hello);
+    let told = "POST /stock HTTP/1.1\r\nhost: a\r\ncontent-length: 2000\r\n\r\n";
+    assert_eq!(status_of(vm.callers(), told), 413);
+    let chunk = "x".repeat(0x800);
+    let chunked = format!(
+        "POST /stock HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n800\r\n{chunk}\r\n"
+    );
+    assert_eq!(status_of(vm.callers(), chunked), 413);
+    still_serves(vm.callers());
+}
+
+#[test]
+fn broken_body() {
+    let (_node, vm) = node("", hello);
+    let mut caller = Caller::connect(vm.callers());
+    caller.send("POST /stock HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf");
+    caller.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert!(caller.receive().is_none());
+    still_serves(vm.callers());
+}
+
+#[test]
+fn chunked_body() {
+    let (_node, vm) = node("", hello);
+    let mut caller = Caller::connect(vm.callers());
+    caller.send("POST /stock HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
+    caller.send("3\r\nabc\r\n0\r\n\r\n");
+    assert_eq!(caller.receive().unwrap().status(), 200);
+}
+
+#[test]
+fn interim_answer() {
+    let (_node, vm) = node("", hello);
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(
+        "POST /stock HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n",
+    );
+    assert_eq!(caller.receive().unwrap().status(), 100);
+    caller.send("abc");
+    assert_eq!(caller.receive().unwrap().status(), 200);
+}
+
+#[test]
+fn two_at_once() {
+    let (_node, vm) = node("", hello);
+    let mut caller = Caller::connect(vm.callers());
+    let one = "GET /stock HTTP/1.1\r\nhost: a\r\n\r\n";
+    caller.send(format!("{one}{one}"));
+    assert_eq!(caller.receive().unwrap().body, "hello");
+    assert_eq!(caller.receive().unwrap().body, "hello");
+}
+
+#[test]
+fn idle_connection() {
+    let (_node, vm) = node("limits: {idle: 100ms}\n", hello);
+    assert!(Caller::connect(vm.callers()).is_closed());
+    assert_eq!(status_of(vm.callers(), "GET /stock"), 408);
+}
+
+#[test]
+fn many_connections() {
+    let (_node, vm) = node("limits: {connections: 2}\n", hello);
+    support::wait_for(|| {
+        let mut held: Vec<_> = (0..2).map(|_| Caller::connect(vm.callers())).collect();
+        held[1].send("GET /none HTTP/1.1\r\nhost: a\r\n\r\n");
+        let held_status = held[1].receive().map(|r| r.status());
+        let mut more = Caller::connect(vm.callers());
+        let status = more.receive().map(|r| r.status());
+        held_status == Some(404) && status == Some(503)
+    });
+}
+
+#[test]
+fn garbage_frames() {
+    let (_node, vm) = node("", hello);
+    for bytes in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        b"\0\0\0\x04\xff\xff\xff\xff",
+        b"\0\0\0\0",
+    ] {
+        let mut peer = Caller::connect(vm.peer());
+        peer.send(bytes);
+        assert!(peer.is_closed(), "{bytes:?}");
+    }
+    still_serves(vm.callers());
+}
+
+#[test]
+fn broken_answers() {
+    let (_node, vm) = node("", |head| {
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        let answer = match path {
+            "/orders/short" => "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+            "/orders/open" => "HTTP/1.1 200 OK\r\n\r\nopen",
+            "/orders/field" => "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nname: caf\u{e9}\r\n\r\n",
+            "/orders/chunk" => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhalf",
+            "/orders/garbage" => "nonsense\r\n\r\n",
+            _ => "",
+        };
+        answer.into()
+    });
+    for path in ["short", "open", "field", "chunk", "garbage", "none"] {
+        let response = call(vm.callers(), "POST", &format!("/orders/{path}"), "");
+        assert_eq!(response.outcome(), Some("unknown"), "{path}: {response:?}");
+        let is_open = ["short", "chunk"].contains(&path);
+        let expected = if is_open { &[502, 504][..] } else { &[502] };
+        assert!(
+            expected.contains(&response.status()),
+            "{path}: {response:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/tests/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the node process, one file a feature.
+
+mod bad_input;
+mod drain;
+mod hand_over;
+mod ports;
+mod settings;
+mod support;
--- /dev/null
+++ b/crates/node/tests/support/peer.rs
@@ -0,0 +1,77 @@
+//! A node of another VM, whose replies are scripted.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+
+use bytes::Bytes;
+use celeryshore_kernel::LoadReport;
+use celeryshore_kernel::PeerReply;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_kernel::Phase;
+use celeryshore_kernel::Reply;
+use celeryshore_kernel::ReplyOutcome;
+use celeryshore_model::HttpResponse;
+use celeryshore_model::Incarnation;
+use celeryshore_wire::ReplyFrame;
+use celeryshore_wire::RequestFrame;
+
+const OK: u16 = 200;
+
+/// One connection of a node to a scripted peer.
+pub struct FakePeer {
+    pub stream: TcpStream,
+}
+
+impl FakePeer {
+    /// Reads the next request, and answers pings before it.
+    pub fn receive(&mut self) -> Option<PeerRequest> {
+        loop {
+            match self.read()? {
+                RequestFrame::Request(request) => return Some(*request),
+                RequestFrame::Ping => self.write(ReplyFrame::Pong),
+            }
+        }
+    }
+
+    /// Answers a hand-over with this body.
+    pub fn answer(&mut self, request: &PeerRequest, body: &'static str) {
+        self.write(answer(request, body));
+    }
+
+    pub fn write(&mut self, frame: ReplyFrame) {
+        let _ = self.stream.write_all(&frame.encode());
+    }
+
+    fn read(&mut self) -> Option<RequestFrame> {
+        let mut prefix = [0; 4];
+        self.stream.read_exact(&mut prefix).ok()?;
+        let length = u32::from_be_bytes(prefix) as usize;
+        let mut frame = prefix.to_vec();
+        frame.resize(prefix.len() + length, 0);
+        self.stream.read_exact(&mut frame[prefix.len()..]).ok()?;
+        RequestFrame::decode(frame.into()).ok()
+    }
+}
+
+/// Returns a whole answer to a hand-over.
+pub fn answer(request: &PeerRequest, body: &'static str) -> ReplyFrame {
+    let PeerRequest::Handover(handover) = request else {
+        panic!("no hand-over: {request:?}");
+    };
+    let reply = Reply {
+        outcome: ReplyOutcome::Answered(HttpResponse {
+            status: OK,
+            headers: Vec::new(),
+            body: Bytes::from_static(body.as_bytes()),
+        }),
+        load: LoadReport {
+            in_flight: 0,
+            limit: 8,
+            phase: Phase::Warm,
+        },
+        version: handover.version,
+        incarnation: Incarnation(1),
+    };
+    ReplyFrame::Reply(PeerReply::from(Box::new(reply)))
+}
--- /dev/null
+++ b/crates/wire/tests/exchange.rs
@@ -0,0 +1,239 @@
+//! Messages of an exchange, to bytes and back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshore_kernel::Delivery;
+use celeryshore_kernel::Fence;
+use celeryshore_kernel::Handover;
+use celeryshore_kernel::Inquiry;
+use celeryshore_kernel::LoadReport;
+use celeryshore_kernel::NotRun;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_kernel::Phase;
+use celeryshore_kernel::Reply;
+use celeryshore_kernel::ReplyOutcome;
+use celeryshore_kernel::Seen;
+use celeryshore_kernel::Unknown;
+use celeryshore_kernel::Vote;
+use celeryshore_model::Attempt;
+use celeryshore_model::ByteSize;
+use celeryshore_model::Depth;
+use celeryshore_model::Digest;
+use celeryshore_model::Epoch;
+use celeryshore_model::Header;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::HttpResponse;
+use celeryshore_model::Incarnation;
+use celeryshore_model::Index;
+use celeryshore_model::KindId;
+use celeryshore_model::Version;
+use celeryshore_wire::Category;
+use celeryshore_wire::FrameLimit;
+use celeryshore_wire::ReplyFrame;
+use celeryshore_wire::RequestFrame;
+use celeryshore_wire::frame_size;
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::proptest;
+
+const LIMIT: FrameLimit = FrameLimit(ByteSize::new(1_024));
+
+fn version() -> Version {
+    Version::new(Epoch(3), Index(40), Digest::of(b"rules"))
+}
+
+fn kind() -> KindId {
+    KindId {
+        service: "ordering".parse().unwrap(),
+        kind: "place-order".parse().unwrap(),
+    }
+}
+
+fn handover(delivery: Delivery) -> Handover {
+    Handover {
+        from: "vm-1".parse().unwrap(),
+        version: version(),
+        upstream: "ord-2".parse().unwrap(),
+        kind: kind(),
+        delivery,
+        remaining: Duration::from_micros(1_999_999),
+        depth: Depth::new(3),
+        fingerprint: Digest::of(b"request"),
+        casualties: vec!["vm-7".parse().unwrap()],
+        request: HttpRequest {
+            method: Bytes::from_static(b"POST"),
+            host: Bytes::from_static(b"orders.example"),
+            path: Bytes::from_static(b"/orders?x=1"),
+            headers: vec![Header::new("accept", "*/*")],
+            body: Bytes::from_static(b"\0\xff"),
+        },
+    }
+}
+
+fn response() -> HttpResponse {
+    HttpResponse {
+        status: 201,
+        headers: vec![Header::new("etag", "1"), Header::new("etag", "2")],
+        body: Bytes::from_static(b"whole"),
+    }
+}
+
+fn fence() -> Fence {
+    Fence {
+        attempt: Attempt::new(2),
+        sequence: 9,
+        judge: "vm-3".parse().unwrap(),
+    }
+}
+
+fn request_survives(request: impl Into<PeerRequest>) {
+    let frame = RequestFrame::Request(Box::new(request.into()));
+    let bytes = frame.clone().encode();
+    assert_eq!(frame_size(&bytes, LIMIT).unwrap(), Some(bytes.len()));
+    assert_eq!(RequestFrame::decode(bytes).unwrap(), frame);
+}
+
+fn outcome_survives(outcome: ReplyOutcome) {
+    let reply = Reply {
+        outcome,
+        load: LoadReport {
+            in_flight: 5,
+            limit: 6,
+            phase: Phase::Draining,
+        },
+        version: version(),
+        incarnation: Incarnation(u64::MAX),
+    };
+    let frame = ReplyFrame::Reply(Box::new(reply).into());
+    assert_eq!(ReplyFrame::decode(frame.clone().encode()).unwrap(), frame);
+}
+
+fn seen_survives(seen: Seen) {
+    let vote = Vote {
+        seen,
+        version: version(),
+        incarnation: Incarnation(1),
+    };
+    let frame = ReplyFrame::Reply(Box::new(vote).into());
+    assert_eq!(ReplyFrame::decode(frame.clone().encode()).unwrap(), frame);
+}
+
+#[test]
+fn handovers() {
+    let key = "order-17".parse().unwrap();
+    for delivery in [
+        Delivery::Repeatable,
+        Delivery::Once,
+        Delivery::Keyed { key, attempt: None },
+    ] {
+        request_survives(Box::new(handover(delivery)));
+    }
+    let key = "order-18".parse().unwrap();
+    let attempt = Some(Attempt::new(2));
+    request_survives(Box::new(handover(Delivery::Keyed { key, attempt })));
+}
+
+#[test]
+fn inquiries() {
+    request_survives(Inquiry {
+        from: "vm-1".parse().unwrap(),
+        version: version(),
+        kind: kind(),
+        key: "order-17".parse().unwrap(),
+        fingerprint: Digest::of(b"request"),
+        fence: fence(),
+        remaining: Duration::ZERO,
+    });
+}
+
+#[test]
+fn replies() {
+    outcome_survives(ReplyOutcome::Answered(response()));
+    for reason in [
+        NotRun::Overloaded,
+        NotRun::ColdStart,
+        NotRun::Leaving,
+        NotRun::OutOfService,
+        NotRun::Behind,
+        NotRun::NotHere,
+        NotRun::Deadline,
+        NotRun::Cancelled,
+        NotRun::TargetDown,
+        NotRun::Poison,
+        NotRun::BadKey,
+        NotRun::KeyReused,
+        NotRun::JournalFull,
+        NotRun::NoUpstream,
+        NotRun::NoRoute,
+        NotRun::Learning,
+        NotRun::TooLarge,
+        NotRun::TooDeep,
+    ] {
+        let retry_after = Duration::from_millis(250);
+        outcome_survives(ReplyOutcome::NotRun {
+            reason,
+            retry_after,
+        });
+    }
+    for reason in [
+        Unknown::PeerLost,
+        Unknown::TargetLost,
+        Unknown::Deadline,
+        Unknown::WitnessUnreachable,
+        Unknown::WitnessRestarted,
+        Unknown::Superseded,
+        Unknown::KeyExpired,
+        Unknown::NotJudged,
+        Unknown::AnswerGone,
+    ] {
+        outcome_survives(ReplyOutcome::Unknown(reason));
+    }
+}
+
+#[test]
+fn votes() {
+    for seen in [
+        Seen::Fenced,
+        Seen::Outranked(fence()),
+        Seen::Done(Some(response())),
+        Seen::Done(None),
+        Seen::Lost,
+        Seen::OtherRequest,
+        Seen::TooYoung,
+        Seen::Behind,
+    ] {
+        seen_survives(seen);
+    }
+}
+
+#[test]
+fn other_frames() {
+    for frame in [ReplyFrame::Pong, ReplyFrame::Working] {
+        assert_eq!(ReplyFrame::decode(frame.clone().encode()).unwrap(), frame);
+    }
+    let empty = ReplyFrame::decode(Bytes::from_static(b"\0\0\0\0"));
+    assert_eq!(empty.unwrap_err().classify(), Category::Content);
+    let long = frame_size(b"\0\0\x04\x01", LIMIT);
+    assert_eq!(long.unwrap_err().classify(), Category::Length);
+}
+
+#[test]
+fn torn_frames() {
+    let request = PeerRequest::from(Box::new(handover(Delivery::Once)));
+    let whole = RequestFrame::Request(Box::new(request)).encode();
+    for end in 0..whole.len() {
+        let size = frame_size(&whole[..end], LIMIT).unwrap();
+        assert!(size.is_none_or(|size| size > end));
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_bytes(bytes in vec(any::<u8>(), 0..256)) {
+        let bytes = Bytes::from(bytes);
+        let _ = frame_size(&bytes, LIMIT);
+        let _ = RequestFrame::decode(bytes.clone());
+        let _ = ReplyFrame::decode(bytes);
+    }
+}
