Judge keys across restarts and changes of the list

Cause: the search with more histories found keys that ran twice: a first copy older than a restarted node that had lost its fence; a judge that had joined the service and knew nothing of the retired upstream; a judge with an older list than a node that had judged before. Ruled out: refusing first sends for a minute after each start; the age of the copy tells the few that are in danger. Change: a copy that is older than the process is no first send; retired upstreams are kept for all services; a node that has heard of a newer version does not conclude a judgement; a node that has just started doubts its list for keys from before.

--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -29,6 +29,44 @@
     Inquiry(Inquiry),
 }
 
+impl PeerRequest {
+    /// Returns the version that the sender acts under.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// #
+    /// # use celeryshore_kernel::Fence;
+    /// # use celeryshore_kernel::Inquiry;
+    /// use celeryshore_kernel::PeerRequest;
+    /// # use celeryshore_model::Attempt;
+    /// # use celeryshore_model::Digest;
+    /// # use celeryshore_model::KindId;
+    /// use celeryshore_model::Version;
+    ///
+    /// # let inquiry = Inquiry {
+    /// #     from: "vm-1".parse()?,
+    /// #     version: Version::default(),
+    /// #     kind: KindId { service: "ordering".parse()?, kind: "order".parse()? },
+    /// #     key: "order-17".parse()?,
+    /// #     fingerprint: Digest::default(),
+    /// #     fence: Fence { attempt: Attempt::new(2), sequence: 0, judge: "vm-1".parse()? },
+    /// #     remaining: Duration::from_secs(1),
+    /// # };
+    /// let request = PeerRequest::from(inquiry);
+    /// assert_eq!(request.version(), Version::default());
+    /// # Ok::<(), celeryshore_model::Error>(())
+    /// ```
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        match self {
+            Self::Handover(handover) => handover.version,
+            Self::Inquiry(inquiry) => inquiry.version,
+        }
+    }
+}
+
 /// Last message of an exchange.
 #[derive(Clone, Debug, From, PartialEq, Eq)]
 pub enum PeerReply {
@@ -38,6 +76,35 @@
     Vote(Box<Vote>),
 }
 
+impl PeerReply {
+    /// Returns the version that the sender acts under.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::PeerReply;
+    /// use celeryshore_kernel::Seen;
+    /// use celeryshore_kernel::Vote;
+    /// use celeryshore_model::Incarnation;
+    /// use celeryshore_model::Version;
+    ///
+    /// let vote = Vote {
+    ///     seen: Seen::Fenced,
+    ///     version: Version::default(),
+    ///     incarnation: Incarnation(1),
+    /// };
+    /// let reply = PeerReply::from(Box::new(vote));
+    /// assert_eq!(reply.version(), Version::default());
+    /// ```
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        match self {
+            Self::Reply(reply) => reply.version,
+            Self::Vote(vote) => vote.version,
+        }
+    }
+}
+
 /// A request on its way to the node that admits work to its target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Handover {
--- a/crates/kernel/src/requests/admitting/arrival.rs
+++ b/crates/kernel/src/requests/admitting/arrival.rs
@@ -1,5 +1,7 @@
 //! One copy of a keyed request that came to the admitting node.
 
+use std::time::Duration;
+
 use celeryshore_model::Attempt;
 use celeryshore_model::RequestKey;
 use celeryshore_model::Time;
@@ -11,6 +13,9 @@
 use crate::requests::context::Context;
 use crate::requests::context::Origin;
 
+/// Lowest attempt number of a resend.
+const SECOND: Attempt = Attempt::new(2);
+
 /// A copy of a keyed request, with where its reply goes.
 #[derive(Clone, Debug)]
 pub(super) struct Arrival {
@@ -38,10 +43,25 @@
     } else {
         Standing::Other
     };
+    let is_stale = age(cx, handover) >= cx.view.uptime(cx.now.mono);
     Some(KeyedCopy {
         key: key.clone(),
         fingerprint: handover.fingerprint,
-        attempt,
+        attempt: if is_stale {
+            attempt.map(|n| n.max(SECOND))
+        } else {
+            attempt
+        },
         standing,
     })
 }
+
+/// Returns how long ago the call came to its handing node, at most.
+///
+/// A copy that is older than this process may have been fenced in an earlier
+/// life, so it does not count as a first send.
+fn age(cx: &Context<'_>, handover: &Handover) -> Duration {
+    let kind = cx.view.kind(&handover.kind);
+    let whole = kind.map_or(Duration::MAX, |k| k.deadline);
+    whole.saturating_sub(handover.remaining)
+}
--- a/crates/kernel/src/requests/admitting/judgement.rs
+++ b/crates/kernel/src/requests/admitting/judgement.rs
@@ -49,6 +49,7 @@
         fence: Fence,
         vouches: bool,
     ) {
+        let is_known = vouches && cx.view.knows_witnesses(cx.now, &copy.key);
         let id = JudgementId(self.next_number());
         self.origins.insert(arrival.origin, id.into());
         self.deadlines.set(id.into(), arrival.deadline);
@@ -57,7 +58,7 @@
             copy: copy.clone(),
             fence,
             pending: BTreeMap::new(),
-            doubt: (!vouches).then_some(Unknown::WitnessRestarted),
+            doubt: (!is_known).then_some(Unknown::WitnessRestarted),
         };
         for witness in cx.view.witnesses(cx.now.mono) {
             self.ask(cx, id, &mut judgement, &witness);
@@ -81,7 +82,6 @@
         };
         let witness = judgement.pending.remove(&exchange);
         if vote.version > cx.view.version() {
-            judgement.doubt = Some(Unknown::NotJudged);
             catch_up(cx, &vote, witness);
         }
         match verdict(vote.seen) {
@@ -151,7 +151,9 @@
         let Some(judgement) = judgement.filter(|j| j.pending.is_empty()) else {
             return;
         };
-        if let Some(doubt) = judgement.doubt {
+        // A newer configuration may have upstreams that were not asked.
+        let behind = cx.view.is_behind().then_some(Unknown::NotJudged);
+        if let Some(doubt) = judgement.doubt.or(behind) {
             self.conclude(cx, id, ReplyOutcome::Unknown(doubt));
             return;
         }
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -102,7 +102,7 @@
                 handing: Handing::new(cfg.seed),
                 admitting: Admitting::new(cfg.vm.clone(), now),
             },
-            view: View::new(cfg),
+            view: View::new(cfg, now.mono),
             exchanges: 0,
             wake_at: None,
             stage: Lifecycle::new(now.mono).into(),
@@ -187,6 +187,8 @@
                 }
             }
             RequestEvent::Drain => self.drain(now),
+            RequestEvent::Received { request, .. } => self.view.hear_of(request.version()),
+            RequestEvent::Replied { reply, .. } => self.view.hear_of(reply.version()),
             _ => {}
         }
         let is_over = self
--- a/crates/kernel/src/requests/peers.rs
+++ b/crates/kernel/src/requests/peers.rs
@@ -7,7 +7,6 @@
 use celeryshore_model::Snapshot;
 use celeryshore_model::Time;
 use celeryshore_model::Upstream;
-use celeryshore_model::VmName;
 use celeryshore_model::WallTime;
 
 use crate::requests::rendezvous;
@@ -23,6 +22,7 @@
 pub(super) struct Peers {
     published: Vec<Upstream>,
     retired: Vec<(Time, Upstream)>,
+    known_since: Option<WallTime>,
     changed_at: WallTime,
 }
 
@@ -32,29 +32,36 @@
         Self {
             published: Vec::new(),
             retired: Vec::new(),
+            known_since: None,
             changed_at: WallTime::from_millis(0),
         }
     }
 
-    /// Takes the upstreams of the own service from a configuration.
-    pub(super) fn configure(&mut self, now: Now, snapshot: &Snapshot, own: Option<&Upstream>) {
-        let service = own.and_then(|own| snapshot.services.get(&own.service));
-        let names = service.into_iter().flat_map(|s| &s.upstreams);
-        let published: Vec<_> = names
-            .filter_map(|name| snapshot.upstreams.get(name))
-            .cloned()
-            .collect();
-        if published == self.published {
-            return;
-        }
-        let earlier = std::mem::replace(&mut self.published, published);
-        let gone = earlier
-            .into_iter()
-            .filter(|u| !self.published.contains(u))
-            .map(|u| (now.mono, u));
+    /// Takes the change from one configuration to the next.
+    pub(super) fn configure(&mut self, now: Now, old: Option<&Snapshot>, new: &Snapshot) {
+        let gone = old.into_iter().flat_map(|s| s.upstreams.values());
+        let gone = gone
+            .filter(|u| new.upstreams.get(&u.name) != Some(u))
+            .map(|u| (now.mono, u.clone()));
         self.retired.extend(gone);
         self.retired.retain(|(at, _)| now.mono - *at <= HORIZON);
-        self.changed_at = now.wall;
+        self.known_since.get_or_insert(now.wall);
+    }
+
+    /// Takes the published upstreams of the own service.
+    pub(super) fn publish(&mut self, now: Now, published: Vec<Upstream>) {
+        if published != self.published {
+            self.published = published;
+            self.changed_at = now.wall;
+        }
+    }
+
+    /// Tells whether all upstreams that may have run a key are known: those that
+    /// were retired before this process had a configuration are not.
+    pub(super) fn is_complete(&self, now: Now, key: &RequestKey) -> bool {
+        let created = key.created().unwrap_or_else(|| earliest(now));
+        self.known_since
+            .is_some_and(|since| since + SETTLING <= created)
     }
 
     /// Tells whether every copy of a key goes first to this upstream, under a
@@ -68,15 +75,15 @@
         rendezvous::order(names, key).first() == Some(&&own.name)
     }
 
-    /// Returns the other upstreams that may have run a key.
-    pub(super) fn witnesses(&self, now: Time, own: &VmName) -> Vec<Upstream> {
+    /// Returns the other upstreams of the own service that may have run a key.
+    pub(super) fn witnesses(&self, now: Time, own: &Upstream) -> Vec<Upstream> {
         let retired = self
             .retired
             .iter()
-            .filter(|(at, _)| now - *at <= HORIZON)
+            .filter(|(at, u)| now - *at <= HORIZON && u.service == own.service)
             .map(|(_, u)| u);
         let all = self.published.iter().chain(retired);
-        all.filter(|u| u.vm != *own).cloned().collect()
+        all.filter(|u| u.vm != own.vm).cloned().collect()
     }
 }
 
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Kind;
@@ -26,9 +27,11 @@
 #[derive(Debug)]
 pub(super) struct View {
     cfg: RequestsConfig,
+    started: Time,
     router: Option<Router>,
     own: Option<Upstream>,
     peers: Peers,
+    newest: Version,
     members: BTreeMap<VmName, MemberState>,
     is_leaving: bool,
     is_closed: bool,
@@ -36,12 +39,14 @@
 
 impl View {
     /// Makes the view of a node that knows nothing.
-    pub(super) const fn new(cfg: RequestsConfig) -> Self {
+    pub(super) fn new(cfg: RequestsConfig, now: Time) -> Self {
         Self {
             cfg,
+            started: now,
             router: None,
             own: None,
             peers: Peers::new(),
+            newest: Version::default(),
             members: BTreeMap::new(),
             is_leaving: false,
             is_closed: false,
@@ -53,14 +58,40 @@
         &self.cfg
     }
 
+    /// Returns how long this process has lived.
+    pub(super) fn uptime(&self, now: Time) -> Duration {
+        now - self.started
+    }
+
     /// Puts a configuration in force, unless a newer one is.
     pub(super) fn configure(&mut self, now: Now, snapshot: Arc<Snapshot>) {
         if snapshot.version < self.version() {
             return;
         }
         self.own = snapshot.upstream_on(&self.cfg.vm).cloned();
-        self.peers.configure(now, &snapshot, self.own.as_ref());
+        let old = self.router.as_ref().map(Router::snapshot);
+        self.peers.configure(now, old.map(Arc::as_ref), &snapshot);
         self.router = Some(Router::new(snapshot));
+        self.peers.publish(now, self.published());
+    }
+
+    fn published(&self) -> Vec<Upstream> {
+        let snapshot = self.snapshot();
+        let names = self.own_service().into_iter().flat_map(|s| &s.upstreams);
+        names
+            .filter_map(|name| snapshot?.upstreams.get(name))
+            .cloned()
+            .collect()
+    }
+
+    /// Records the version that a message of a peer was sent under.
+    pub(super) fn hear_of(&mut self, version: Version) {
+        self.newest = self.newest.max(version);
+    }
+
+    /// Tells whether a peer has shown a newer version than the one in force.
+    pub(super) fn is_behind(&self) -> bool {
+        self.newest > self.version()
     }
 
     /// Records the state of a member.
@@ -148,7 +179,13 @@
 
     /// Returns the other upstreams that may have run a key of this node's service.
     pub(super) fn witnesses(&self, now: Time) -> Vec<Upstream> {
-        self.peers.witnesses(now, &self.cfg.vm)
+        let own = self.own.as_ref();
+        own.map_or_else(Vec::new, |own| self.peers.witnesses(now, own))
+    }
+
+    /// Tells whether all upstreams that may have run a key are known.
+    pub(super) fn knows_witnesses(&self, now: Now, key: &RequestKey) -> bool {
+        self.peers.is_complete(now, key)
     }
 
     /// Returns a request kind by its service and name.
--- a/crates/kernel/tests/common/deployment.rs
+++ b/crates/kernel/tests/common/deployment.rs
@@ -1,10 +1,12 @@
 //! Small configurations and requests for the tests.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use celeryshore_model::ByteSize;
+use celeryshore_model::Digest;
 use celeryshore_model::Header;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Index;
@@ -54,6 +56,17 @@
     snapshot.services.values_mut().for_each(change);
 }
 
+/// Takes an upstream off the list in the next version, by its VM.
+pub fn without_upstream(snapshot: &Snapshot, vm: &str) -> Snapshot {
+    let mut next = snapshot.clone();
+    next.version.index.0 += 1;
+    let vm = vm.parse().expect("a VM");
+    let gone = snapshot.upstream_on(&vm).expect("an upstream");
+    next.upstreams.remove(&gone.name);
+    tune(&mut next, |s| s.upstreams.retain(|u| *u != gone.name));
+    next
+}
+
 /// Takes a zone out of service in the next version.
 pub fn without_zone(snapshot: &Snapshot, zone: &str) -> Arc<Snapshot> {
     let mut next = snapshot.clone();
@@ -98,6 +111,16 @@
     with(keyed(key), "celeryshore-attempt", &attempt.to_string())
 }
 
+/// Returns the VMs in the order in which they take a key, its home first.
+pub fn key_order(key: &str, upstreams: usize) -> Vec<String> {
+    let mut numbers: Vec<_> = (1..=upstreams).collect();
+    numbers.sort_by_cached_key(|n| {
+        let text = format!("{key}\0ordering-{n}");
+        Reverse(Digest::of(text.as_bytes()))
+    });
+    numbers.into_iter().map(|n| format!("vm-{n}")).collect()
+}
+
 /// Makes a key that carries its creation time.
 pub fn timed_key(created: WallTime, number: u64) -> String {
     let millis = created.as_millis();
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -82,11 +82,17 @@
 impl Mesh {
     /// Starts a node on each of the VMs; all know the configuration.
     pub fn new(snapshot: &Arc<Snapshot>) -> Self {
+        Self::with(snapshot, snapshot)
+    }
+
+    /// Starts a node on each of the VMs of one configuration with another.
+    pub fn with(all: &Snapshot, first: &Arc<Snapshot>) -> Self {
         let mut mesh = Self::empty();
-        let vms: Vec<_> = snapshot.upstreams.values().map(|u| u.vm.clone()).collect();
+        let vms: Vec<_> = all.upstreams.values().map(|u| u.vm.clone()).collect();
         mesh.now = at(0);
         for vm in &vms {
-            mesh.start(vm, snapshot);
+            mesh.start_unconfigured(vm, deployment::zone_of(all, vm));
+            mesh.send(vm.as_str(), RequestEvent::Configured(first.clone()));
         }
         mesh.now = at(AGE);
         for vm in &vms {
@@ -143,9 +149,13 @@
         let vm = name(vm);
         self.nodes.remove(&vm);
         self.runs.retain(|r| r.vm != vm);
+        let is_reply = |event: &RequestEvent| matches!(event, RequestEvent::Replied { .. });
+        self.kept
+            .retain(|(to, event)| *to != vm || !is_reply(event));
         let links = std::mem::take(&mut self.links);
         for (inbound, (from, exchange, to)) in links {
             if to == vm {
+                self.drop_message(inbound);
                 let progress = Progress::MaybeSent;
                 self.push(&from, RequestEvent::ExchangeFailed { exchange, progress });
             } else if from == vm {
@@ -157,6 +167,12 @@
         self.settle();
     }
 
+    /// Drops a message on a connection that its receiver's end has broken.
+    fn drop_message(&mut self, dropped: InboundId) {
+        let is_dropped = |event: &RequestEvent| matches!(event, RequestEvent::Received { inbound, .. } if *inbound == dropped);
+        self.kept.retain(|(_, event)| !is_dropped(event));
+    }
+
     /// Cuts or heals the way from one VM to another.
     pub fn set_cut(&mut self, from: &str, to: &str, is_cut: bool) {
         let link = (name(from), name(to));
--- a/crates/kernel/tests/interleavings.rs
+++ b/crates/kernel/tests/interleavings.rs
@@ -23,6 +23,7 @@
 
 use crate::common::Mesh;
 use crate::common::Run;
+use crate::common::deployment;
 use crate::common::deployment::keyed;
 use crate::common::deployment::ordering;
 use crate::common::deployment::timed_key;
@@ -87,6 +88,8 @@
     mesh: Mesh,
     /// Configurations that were published, the latest last.
     published: Vec<Arc<Snapshot>>,
+    /// Configuration with all upstreams.
+    all: Arc<Snapshot>,
     /// Keys with the number of times that each was sent.
     keys: BTreeMap<usize, (String, u32)>,
     /// Calls with their key and whether it had run when the call was sent.
@@ -97,18 +100,22 @@
 }
 
 impl World {
-    fn new() -> Self {
+    /// Starts all nodes with a configuration in which one upstream, or none,
+    /// is missing.
+    fn new(missing: usize) -> Self {
         let mut snapshot = ordering(&["glasgow", "perth", "dundee"]);
         tune(&mut snapshot, |s| {
             s.limits.slots = Slots::new(2);
             s.limits.queue = Slots::new(1);
         });
-        let snapshot = Arc::new(snapshot);
-        let mut mesh = Mesh::new(&snapshot);
+        let all = Arc::new(snapshot);
+        let first = Arc::new(without_vm(&all, missing));
+        let mut mesh = Mesh::with(&all, &first);
         mesh.held.extend(VMS.map(name));
         Self {
             mesh,
-            published: vec![snapshot],
+            published: vec![first],
+            all,
             keys: BTreeMap::new(),
             calls: BTreeMap::new(),
             ran: BTreeMap::new(),
@@ -155,11 +162,13 @@
             Op::Restart(vm) => {
                 self.mesh.kill(VMS[vm]);
                 let first = self.published[0].clone();
-                self.mesh.start(&name(VMS[vm]), &first);
+                let zone = self.zone_of(vm);
+                self.mesh.start_unconfigured(&name(VMS[vm]), &zone);
+                self.mesh.send(VMS[vm], RequestEvent::Configured(first));
             }
             Op::Cut { from, to, is_cut } => self.mesh.set_cut(VMS[from], VMS[to], is_cut),
             Op::Drain(vm) => self.mesh.send(VMS[vm], RequestEvent::Drain),
-            Op::Publish(without) => self.publish(without),
+            Op::Publish(missing) => self.publish(missing),
             Op::Configure(vm) => {
                 let latest = self.published[self.published.len() - 1].clone();
                 self.mesh.send(VMS[vm], RequestEvent::Configured(latest));
@@ -171,17 +180,16 @@
     }
 
     /// Publishes a configuration in which one upstream, or none, is missing.
-    fn publish(&mut self, without: usize) {
-        let mut next = Snapshot::clone(&self.published[0]);
-        next.version.index.0 += self.published.len() as u64;
-        if let Some(vm) = VMS.get(without) {
-            let gone = next.upstream_on(&name(vm)).expect("an upstream").clone();
-            next.upstreams.remove(&gone.name);
-            tune(&mut next, |s| s.upstreams.retain(|u| *u != gone.name));
-        }
+    fn publish(&mut self, missing: usize) {
+        let mut next = without_vm(&self.all, missing);
+        next.version.index.0 += 1 + self.published.len() as u64;
         self.published.push(Arc::new(next));
     }
 
+    fn zone_of(&self, vm: usize) -> String {
+        deployment::zone_of(&self.all, &name(VMS[vm])).to_owned()
+    }
+
     fn run(&self, i: usize) -> Option<Run> {
         let count = self.mesh.runs.len();
         (count > 0).then(|| self.mesh.runs[i % count].clone())
@@ -240,6 +248,13 @@
     }
 }
 
+fn without_vm(all: &Snapshot, vm: usize) -> Snapshot {
+    match VMS.get(vm) {
+        Some(vm) => deployment::without_upstream(all, vm),
+        None => all.clone(),
+    }
+}
+
 fn key_of(run: &Run) -> String {
     let key = run.request.header(b"idempotency-key").expect("a key");
     String::from_utf8_lossy(key).into_owned()
@@ -255,8 +270,9 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let ops = prop::collection::vec(op(), 1..120);
-    let result = runner.run(&ops, |ops| {
-        let mut world = World::new();
+    let history = (0..=VMS.len(), ops);
+    let result = runner.run(&history, |(missing, ops)| {
+        let mut world = World::new(missing);
         for op in &ops {
             world.apply(op);
             world.check()?;
--- a/crates/kernel/tests/keyed.rs
+++ b/crates/kernel/tests/keyed.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::cmp::Reverse;
 use std::sync::Arc;
 
 use celeryshore_kernel::Answer;
@@ -12,17 +11,16 @@
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::Unknown;
-use celeryshore_model::Digest;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Slots;
 use celeryshore_model::Snapshot;
 
 use crate::common::Mesh;
 use crate::common::deployment::DEADLINE;
+use crate::common::deployment::key_order;
 use crate::common::deployment::keyed;
 use crate::common::deployment::ordering;
 use crate::common::deployment::resent;
-use crate::common::deployment::timed_key;
 use crate::common::deployment::tune;
 use crate::common::name;
 use crate::common::response;
@@ -44,27 +42,17 @@
     }
 }
 
-/// Returns the VMs in the order in which they take a key, its home first.
-fn order(key: &str, upstreams: usize) -> Vec<String> {
-    let mut numbers: Vec<_> = (1..=upstreams).collect();
-    numbers.sort_by_cached_key(|n| {
-        let text = format!("{key}\0ordering-{n}");
-        Reverse(Digest::of(text.as_bytes()))
-    });
-    numbers.into_iter().map(|n| format!("vm-{n}")).collect()
-}
-
 /// Sends the key for the first time; returns the call and its home.
 fn first_send(mesh: &mut Mesh, vm: &str) -> (CallId, String) {
     let call = mesh.call(vm, resent(KEY, 1));
-    let home = order(KEY, 4).remove(0);
+    let home = key_order(KEY, 4).remove(0);
     assert_eq!(mesh.runs[0].vm, name(&home));
     (call, home)
 }
 
 /// Returns the nodes that are not the home, the last of the key's order first.
 fn others(home: &str) -> Vec<String> {
-    let mut vms = order(KEY, 4);
+    let mut vms = key_order(KEY, 4);
     vms.retain(|vm| vm != home);
     vms.reverse();
     vms
@@ -108,41 +96,10 @@
     assert_eq!(mesh.history.len(), 1);
 }
 
-#[test]
-fn restarted_home() {
-    let mut mesh = mesh();
-    let (_, home) = first_send(&mut mesh, "vm-1");
-    mesh.kill(&home);
-    mesh.start(&name(&home), &snapshot());
-    mesh.advance(5_000);
-    for request in [resent(KEY, 2), keyed(KEY)] {
-        let call = mesh.call(&others(&home)[0], request);
-        assert_eq!(unknown(&mesh, call), Unknown::WitnessRestarted);
-    }
-    assert_eq!(mesh.history.len(), 1);
-}
-
-#[test]
-fn newer_key() {
-    let mut mesh = mesh();
-    let vms = ["vm-1", "vm-2", "vm-3", "vm-4"];
-    for vm in vms {
-        mesh.kill(vm);
-        mesh.start(&name(vm), &snapshot());
-    }
-    mesh.advance(60_000);
-    let key = timed_key(mesh.now.wall, 1);
-    for vm in vms {
-        mesh.call(vm, keyed(&key));
-    }
-    assert_eq!(mesh.history.len(), 1);
-    assert_eq!(mesh.inquiries, 0, "made after all nodes started");
-}
-
 #[test]
 fn late_copy() {
     let mut mesh = mesh();
-    let [home, _, a, b] = &order(KEY, 4)[..] else {
+    let [home, _, a, b] = &key_order(KEY, 4)[..] else {
         panic!("four nodes");
     };
     mesh.held.insert(name(home));
@@ -171,7 +128,7 @@
     let home = mesh.runs[0].vm.clone();
     let key = (2..100)
         .map(|n| format!("order-{n}"))
-        .find(|key| order(key, 3)[0] == home.as_str())
+        .find(|key| key_order(key, 3)[0] == home.as_str())
         .expect("a key of the same home");
     let call = mesh.call("vm-1", keyed(&key));
     let run = mesh.runs.pop().expect("a run");
@@ -222,24 +179,6 @@
     assert_eq!(mesh.history.len(), 1);
 }
 
-#[test]
-fn retired_upstream() {
-    let mut mesh = mesh();
-    let (_, home) = first_send(&mut mesh, "vm-1");
-    mesh.answer("ordered");
-    let mut next = ordering(&["glasgow", "perth", "dundee", "ayr"]);
-    next.version.index.0 += 1;
-    let gone = next.upstream_on(&name(&home)).expect("an upstream").clone();
-    next.upstreams.remove(&gone.name);
-    tune(&mut next, |s| s.upstreams.retain(|u| *u != gone.name));
-    mesh.send_all(&RequestEvent::Configured(Arc::new(next)));
-    for request in [resent(KEY, 2), keyed(KEY)] {
-        let call = mesh.call(&others(&home)[0], request);
-        assert_eq!(mesh.answers[&call], Answer::Whole(response(200, "ordered")));
-    }
-    assert_eq!(mesh.history.len(), 1);
-}
-
 #[test]
 fn waiting_witness() {
     let mut mesh = mesh();
--- /dev/null
+++ b/crates/kernel/tests/list_changes.rs
@@ -0,0 +1,80 @@
+//! Keyed requests while the list of upstreams changes.
+
+mod common;
+
+use std::sync::Arc;
+
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::CallId;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::Unknown;
+
+use crate::common::Mesh;
+use crate::common::deployment::key_order;
+use crate::common::deployment::keyed;
+use crate::common::deployment::ordering;
+use crate::common::deployment::resent;
+use crate::common::deployment::without_upstream;
+use crate::common::name;
+use crate::common::response;
+
+const KEY: &str = "order-17";
+
+const ZONES: [&str; 3] = ["glasgow", "perth", "dundee"];
+
+fn unknown(mesh: &Mesh, call: CallId) -> Unknown {
+    match &mesh.answers[&call] {
+        Answer::Unknown { reason, .. } => *reason,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn retired_upstream() {
+    let snapshot = ordering(&ZONES);
+    let mut mesh = Mesh::new(&Arc::new(snapshot.clone()));
+    mesh.call("vm-1", resent(KEY, 1));
+    mesh.answer("ordered");
+    let [home, .., last] = &key_order(KEY, 3)[..] else {
+        panic!("three nodes");
+    };
+    let next = without_upstream(&snapshot, home);
+    mesh.send_all(&RequestEvent::Configured(Arc::new(next)));
+    for request in [resent(KEY, 2), keyed(KEY)] {
+        let call = mesh.call(last, request);
+        assert_eq!(mesh.answers[&call], Answer::Whole(response(200, "ordered")));
+    }
+    assert_eq!(mesh.history.len(), 1);
+}
+
+#[test]
+fn joined_upstream() {
+    let all = ordering(&ZONES);
+    let first = without_upstream(&all, "vm-2");
+    let mut mesh = Mesh::with(&all, &Arc::new(first));
+    mesh.call("vm-2", resent(KEY, 1));
+    let home = mesh.runs[0].vm.clone();
+    let mut next = without_upstream(&all, home.as_str());
+    next.version.index.0 += 1;
+    let event = RequestEvent::Configured(Arc::new(next));
+    mesh.send("vm-2", event);
+    let call = mesh.call("vm-2", resent(KEY, 2));
+    assert_eq!(mesh.history.len(), 1, "the earlier home is asked");
+    mesh.answer("ordered");
+    assert_eq!(mesh.answers[&call], Answer::Whole(response(200, "ordered")));
+}
+
+#[test]
+fn older_list() {
+    let all = ordering(&ZONES);
+    let first = without_upstream(&all, "vm-2");
+    let mut mesh = Mesh::with(&all, &Arc::new(first));
+    let mut next = without_upstream(&all, "vm-1");
+    next.version.index.0 += 1;
+    mesh.send("vm-2", RequestEvent::Configured(Arc::new(next)));
+    mesh.call("vm-2", keyed(KEY));
+    assert_eq!(mesh.runs[0].vm, name("vm-2"), "judged and run");
+    let call = mesh.call("vm-3", keyed(KEY));
+    assert_eq!(unknown(&mesh, call), Unknown::NotJudged);
+    assert_eq!(mesh.history.len(), 1);
+}
