Make a new upstream known before it runs first sends

Cause: a longer search found a first send that ran at once at an upstream whose list nobody else had, while an older list judged its resend; and a judge that took the newer list before the end of its judgement. Ruled out: waiting for the list to settle before any keyed work; the other nodes are asked instead, and a first send that cannot be made known goes to the next upstream, since it certainly did not run.

--- a/crates/kernel/src/requests/admitting/arrival.rs
+++ b/crates/kernel/src/requests/admitting/arrival.rs
@@ -43,23 +43,33 @@
     } else {
         Standing::Other
     };
-    let is_stale = age(cx, handover) >= cx.view.uptime(cx.now.mono);
+    let runs_at_once = cx.view.is_settled(cx.now.mono) && !is_stale(cx, handover);
     Some(KeyedCopy {
         key: key.clone(),
         fingerprint: handover.fingerprint,
-        attempt: if is_stale {
-            attempt.map(|n| n.max(SECOND))
-        } else {
+        attempt: if runs_at_once {
             attempt
+        } else {
+            attempt.map(|n| n.max(SECOND))
         },
         standing,
     })
 }
 
+/// Tells whether a hand-over is the first send of a key, as far as its caller
+/// and this process can know.
+pub(super) fn is_first_send(cx: &Context<'_>, handover: &Handover) -> bool {
+    let attempt = key_of(handover).and_then(|(_, attempt)| attempt);
+    attempt.is_some_and(|n| n < SECOND) && !is_stale(cx, handover)
+}
+
+/// Tells whether a copy is older than this process, which then may have fenced
+/// it in an earlier life.
+fn is_stale(cx: &Context<'_>, handover: &Handover) -> bool {
+    age(cx, handover) >= cx.view.uptime(cx.now.mono)
+}
+
 /// Returns how long ago the call came to its handing node, at most.
-///
-/// A copy that is older than this process may have been fenced in an earlier
-/// life, so it does not count as a first send.
 fn age(cx: &Context<'_>, handover: &Handover) -> Duration {
     let kind = cx.view.kind(&handover.kind);
     let whole = kind.map_or(Duration::MAX, |k| k.deadline);
--- a/crates/kernel/src/requests/admitting/judgement.rs
+++ b/crates/kernel/src/requests/admitting/judgement.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use celeryshore_model::Upstream;
+use celeryshore_model::Version;
 use celeryshore_model::VmName;
 
 use super::Admitting;
 use super::admission::Refusal;
+use super::arrival;
 use super::arrival::Arrival;
 use super::keyed;
 use super::task::JudgementId;
@@ -34,11 +36,37 @@
     pub(super) arrival: Arrival,
     copy: KeyedCopy,
     fence: Fence,
+    version: Version,
+    /// Whether it is a first send, which is only judged because other nodes may
+    /// not know this one yet.
+    is_first: bool,
     /// Witnesses that have not voted.
     pending: BTreeMap<ExchangeId, VmName>,
     doubt: Option<Unknown>,
 }
 
+impl Judgement {
+    /// Returns the outcome where the judgement cannot end well.
+    ///
+    /// A first send was fenced here before it ran, so it certainly did not run.
+    pub(super) fn refusal(&self, doubt: Unknown) -> ReplyOutcome {
+        if self.is_first {
+            Refusal::new(NotRun::Learning).into()
+        } else {
+            ReplyOutcome::Unknown(doubt)
+        }
+    }
+
+    /// Returns what is in doubt after all votes.
+    ///
+    /// A newer configuration may have upstreams that were not asked.
+    fn doubt(&self, cx: &Context<'_>) -> Option<Unknown> {
+        let is_current = self.version == cx.view.version() && !cx.view.is_behind();
+        self.doubt
+            .or_else(|| (!is_current).then_some(Unknown::NotJudged))
+    }
+}
+
 impl Admitting {
     /// Asks every other upstream that may have run the key, and fences it there.
     pub(super) fn judge(
@@ -49,6 +77,7 @@
         fence: Fence,
         vouches: bool,
     ) {
+        let is_first = fence.sequence == 0 && arrival::is_first_send(cx, &arrival.handover);
         let is_known = vouches && cx.view.knows_witnesses(cx.now, &copy.key);
         let id = JudgementId(self.next_number());
         self.origins.insert(arrival.origin, id.into());
@@ -58,7 +87,9 @@
             copy: copy.clone(),
             fence,
             pending: BTreeMap::new(),
-            doubt: (!is_known).then_some(Unknown::WitnessRestarted),
+            version: cx.view.version(),
+            is_first,
+            doubt: (!is_known && !is_first).then_some(Unknown::WitnessRestarted),
         };
         for witness in cx.view.witnesses(cx.now.mono) {
             self.ask(cx, id, &mut judgement, &witness);
@@ -84,7 +115,7 @@
         if vote.version > cx.view.version() {
             catch_up(cx, &vote, witness);
         }
-        match verdict(vote.seen) {
+        match verdict(vote.seen, judgement.is_first) {
             Ok(doubt) => judgement.doubt = judgement.doubt.or(doubt),
             Err(outcome) => return self.conclude(cx, id, outcome),
         }
@@ -151,10 +182,9 @@
         let Some(judgement) = judgement.filter(|j| j.pending.is_empty()) else {
             return;
         };
-        // A newer configuration may have upstreams that were not asked.
-        let behind = cx.view.is_behind().then_some(Unknown::NotJudged);
-        if let Some(doubt) = judgement.doubt.or(behind) {
-            self.conclude(cx, id, ReplyOutcome::Unknown(doubt));
+        if let Some(doubt) = judgement.doubt(cx) {
+            let outcome = judgement.refusal(doubt);
+            self.conclude(cx, id, outcome);
             return;
         }
         let Some(judgement) = self.end_judgement(cx, id) else {
@@ -191,9 +221,10 @@
 }
 
 /// Returns what a vote leaves in doubt, or the outcome that it decides.
-fn verdict(seen: Seen) -> Result<Option<Unknown>> {
+fn verdict(seen: Seen, is_first: bool) -> Result<Option<Unknown>> {
     match seen {
         Seen::Fenced => Ok(None),
+        Seen::TooYoung if is_first => Ok(None),
         Seen::TooYoung => Ok(Some(Unknown::WitnessRestarted)),
         Seen::Behind => Ok(Some(Unknown::WitnessUnreachable)),
         Seen::Done(answer) => Err(keyed::done(answer)),
--- a/crates/kernel/src/requests/peers.rs
+++ b/crates/kernel/src/requests/peers.rs
@@ -24,6 +24,7 @@
     retired: Vec<(Time, Upstream)>,
     known_since: Option<WallTime>,
     changed_at: WallTime,
+    joined_at: Option<Time>,
 }
 
 impl Peers {
@@ -34,6 +35,7 @@
             retired: Vec::new(),
             known_since: None,
             changed_at: WallTime::from_millis(0),
+            joined_at: None,
         }
     }
 
@@ -50,12 +52,22 @@
 
     /// Takes the published upstreams of the own service.
     pub(super) fn publish(&mut self, now: Now, published: Vec<Upstream>) {
+        if published.is_empty() {
+            self.joined_at = None;
+        } else {
+            self.joined_at.get_or_insert(now.mono);
+        }
         if published != self.published {
             self.published = published;
             self.changed_at = now.wall;
         }
     }
 
+    /// Tells whether all nodes know by now that this one is on the list.
+    pub(super) fn is_settled(&self, now: Time) -> bool {
+        self.joined_at.is_some_and(|at| now - at >= SETTLING)
+    }
+
     /// Tells whether all upstreams that may have run a key are known: those that
     /// were retired before this process had a configuration are not.
     pub(super) fn is_complete(&self, now: Now, key: &RequestKey) -> bool {
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -183,6 +183,11 @@
         own.map_or_else(Vec::new, |own| self.peers.witnesses(now, own))
     }
 
+    /// Tells whether all nodes know by now that this one is on the list.
+    pub(super) fn is_settled(&self, now: Time) -> bool {
+        self.peers.is_settled(now)
+    }
+
     /// Tells whether all upstreams that may have run a key are known.
     pub(super) fn knows_witnesses(&self, now: Now, key: &RequestKey) -> bool {
         self.peers.is_complete(now, key)
--- a/crates/kernel/tests/list_changes.rs
+++ b/crates/kernel/tests/list_changes.rs
@@ -78,3 +78,46 @@
     assert_eq!(unknown(&mesh, call), Unknown::NotJudged);
     assert_eq!(mesh.history.len(), 1);
 }
+
+#[test]
+fn caught_up_judge() {
+    let all = ordering(&ZONES);
+    let first = without_upstream(&all, "vm-2");
+    let mut mesh = Mesh::with(&all, &Arc::new(first));
+    let mut next = without_upstream(&all, "vm-1");
+    next.version.index.0 += 1;
+    let event = RequestEvent::Configured(Arc::new(next));
+    mesh.send("vm-2", event.clone());
+    let key = (0..100)
+        .map(|n| format!("order-{n}"))
+        .find(|key| key_order(key, 3).ends_with(&["vm-1".to_owned()]))
+        .expect("a key that comes last to vm-1");
+    mesh.call("vm-2", keyed(&key));
+    assert_eq!(mesh.runs[0].vm, name("vm-2"));
+    mesh.held.insert(name("vm-1"));
+    mesh.held.insert(name("vm-3"));
+    mesh.call("vm-3", keyed(&key));
+    assert_eq!(mesh.kept.len(), 1, "it judges");
+    mesh.send("vm-3", event);
+    mesh.release();
+    assert_eq!(mesh.history.len(), 1, "judged by the list of the start");
+}
+
+#[test]
+fn unknown_upstream() {
+    let all = ordering(&ZONES);
+    let first = without_upstream(&all, "vm-2");
+    let mut mesh = Mesh::with(&all, &Arc::new(first));
+    let mut next = all.clone();
+    next.version.index.0 += 2;
+    mesh.send("vm-2", RequestEvent::Configured(Arc::new(next)));
+    let key = (0..100)
+        .map(|n| format!("order-{n}"))
+        .find(|key| key_order(key, 3)[0] == "vm-2")
+        .expect("a key of the new upstream");
+    mesh.call("vm-2", resent(&key, 1));
+    assert_eq!(mesh.runs.len(), 1);
+    let call = mesh.call("vm-3", resent(&key, 2));
+    assert_eq!(unknown(&mesh, call), Unknown::NotJudged);
+    assert_eq!(mesh.history.len(), 1, "the first send was made known");
+}
