--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -17,6 +17,7 @@
 use celeryshore_model::Upstream;
 use celeryshore_model::Version;
 use celeryshore_model::VmName;
+use celeryshore_model::ZoneName;
 use celeryshore_rules::Router;
 
 use crate::MemberState;
@@ -33,6 +34,7 @@
     peers: Peers,
     newest: Version,
     members: BTreeMap<VmName, MemberState>,
+    zone_sizes: BTreeMap<ZoneName, u32>,
     is_leaving: bool,
     is_closed: bool,
 }
@@ -48,6 +50,7 @@
             peers: Peers::new(),
             newest: Version::default(),
             members: BTreeMap::new(),
+            zone_sizes: BTreeMap::new(),
             is_leaving: false,
             is_closed: false,
         }
@@ -71,6 +74,7 @@
         self.own = snapshot.upstream_on(&self.cfg.vm).cloned();
         let old = self.router.as_ref().map(Router::snapshot);
         self.peers.configure(now, old.map(Arc::as_ref), &snapshot);
+        self.zone_sizes = zone_sizes(&snapshot);
         self.router = Some(Router::new(snapshot));
         self.peers.publish(now, self.published());
     }
@@ -163,6 +167,11 @@
         self.members.get(vm).copied().unwrap_or_default()
     }
 
+    /// Returns how many nodes lie in a zone.
+    pub(super) fn zone_size(&self, zone: &ZoneName) -> u32 {
+        self.zone_sizes.get(zone).copied().unwrap_or_default()
+    }
+
     /// Tells whether new work may go to the node on a VM.
     pub(super) fn is_usable(&self, vm: &VmName) -> bool {
         if *vm == self.cfg.vm {
@@ -208,3 +217,11 @@
         })
     }
 }
+
+fn zone_sizes(snapshot: &Snapshot) -> BTreeMap<ZoneName, u32> {
+    let mut sizes = BTreeMap::new();
+    for upstream in snapshot.upstreams.values() {
+        *sizes.entry(upstream.zone.clone()).or_default() += 1;
+    }
+    sizes
+}
