Hold off poison requests and check deadlines after a freeze

Cause: a request that crashes its target was retried and resent without bound; a process that woke up late ran work whose deadline had passed; and a longer search found a judge that had skipped the version in which another judge was listed. Ruled out: a new message for losses; a hand-over without time left makes them known and is refused by every node. Also blaming peers for deadlines that passed during a freeze. Change: two losses hold a request off, at every node of its service, for a time that doubles; one answer clears it. Due deadlines are decided before any other event, and time lost by a freeze is taken off messages that waited. A key that an unknown node has judged is in doubt. Conclusion: dump and counters follow.

--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -358,6 +358,6 @@
     OtherRequest,
     /// The witness is younger than the key, or has no room for a fence, and cannot say.
     TooYoung,
-    /// The witness's configuration is older than the judge's.
+    /// The judge or the witness has an older list of upstreams than another judge.
     Behind,
 }
--- a/crates/kernel/src/requests/admitting/check.rs
+++ b/crates/kernel/src/requests/admitting/check.rs
@@ -7,17 +7,30 @@
 use crate::NotRun;
 use crate::requests::RequestAction;
 use crate::requests::context::Context;
+use crate::requests::suspicions::MAX_CASUALTIES;
 
 /// Result of the checks.
 pub(super) type Result<T> = std::result::Result<T, NotRun>;
 
 /// Checks a hand-over against this node's configuration and state.
 pub(super) fn check(cx: &mut Context<'_>, handover: &Handover) -> Result<()> {
+    check_poison(cx, handover)?;
     check_version(cx, handover)?;
     check_upstream(cx, handover)?;
     check_kind(cx, handover)
 }
 
+/// Refuses a request that is held off here, unless its handing node knows of
+/// the losses and lets it through.
+fn check_poison(cx: &mut Context<'_>, handover: &Handover) -> Result<()> {
+    let is_known = handover.casualties.len() >= MAX_CASUALTIES;
+    let now = cx.now.mono;
+    if !is_known && cx.suspicions.hold_off(now, &handover.fingerprint).is_some() {
+        return Err(NotRun::Poison);
+    }
+    Ok(())
+}
+
 fn check_version(cx: &mut Context<'_>, handover: &Handover) -> Result<()> {
     if cx.view.snapshot().is_none() {
         return Err(NotRun::Learning);
--- a/crates/kernel/src/requests/admitting/judgement.rs
+++ b/crates/kernel/src/requests/admitting/judgement.rs
@@ -78,6 +78,7 @@
         vouches: bool,
     ) {
         let is_first = fence.sequence == 0 && arrival::is_first_send(cx, &arrival.handover);
+        let is_incomplete = self.strangers.have_judged(&copy.key, &cx.view.cfg().vm);
         let is_known = vouches && cx.view.knows_witnesses(cx.now, &copy.key);
         let id = JudgementId(self.next_number());
         self.origins.insert(arrival.origin, id.into());
@@ -89,7 +90,7 @@
             pending: BTreeMap::new(),
             version: cx.view.version(),
             is_first,
-            doubt: (!is_known && !is_first).then_some(Unknown::WitnessRestarted),
+            doubt: first_doubt(is_incomplete, is_known || is_first),
         };
         for witness in cx.view.witnesses(cx.now.mono) {
             self.ask(cx, id, &mut judgement, &witness);
@@ -202,6 +203,15 @@
     }
 }
 
+/// Returns what is in doubt before any witness was asked.
+fn first_doubt(is_incomplete: bool, is_known: bool) -> Option<Unknown> {
+    if is_incomplete {
+        Some(Unknown::NotJudged)
+    } else {
+        (!is_known).then_some(Unknown::WitnessRestarted)
+    }
+}
+
 fn inquiry(cx: &Context<'_>, judgement: &Judgement) -> Inquiry {
     let Judgement {
         arrival,
--- a/crates/kernel/src/requests/admitting/keyed.rs
+++ b/crates/kernel/src/requests/admitting/keyed.rs
@@ -92,5 +92,8 @@
 /// Tells whether a node that refuses for this reason still gives the answers
 /// that it remembers.
 const fn is_remembered(reason: NotRun) -> bool {
-    matches!(reason, NotRun::Leaving | NotRun::OutOfService)
+    matches!(
+        reason,
+        NotRun::Leaving | NotRun::OutOfService | NotRun::Poison
+    )
 }
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -9,6 +9,7 @@
 mod latency;
 mod limit;
 mod outcome;
+mod strangers;
 mod task;
 mod waiter;
 mod work;
@@ -26,6 +27,7 @@
 use self::arrival::Arrival;
 use self::judgement::Judgement;
 use self::limit::Evidence;
+use self::strangers::Strangers;
 use self::task::JudgementId;
 use self::task::Task;
 use self::task::WaiterId;
@@ -66,6 +68,7 @@
     latest: u64,
     admission: Admission,
     journal: Journal<WaiterId>,
+    strangers: Strangers,
 }
 
 impl Admitting {
@@ -81,6 +84,7 @@
             latest: 0,
             admission: Admission::new(),
             journal: Journal::new(JournalConfig::new(vm), now),
+            strangers: Strangers::default(),
         }
     }
 
@@ -121,7 +125,10 @@
         origin: Origin,
         handover: Box<Handover>,
     ) {
-        let deadline = cx.now.mono + remaining(&handover);
+        let deadline = cx.now.mono + remaining(cx, &handover);
+        let now = cx.now.mono;
+        cx.suspicions
+            .record(now, handover.fingerprint, &handover.casualties);
         let arrival = Arrival {
             origin,
             handover,
@@ -144,6 +151,7 @@
         };
         self.deadlines.cancel(id.into());
         self.observe(cx, &work, &outcome);
+        suspect(cx, &work, &outcome);
         if let Some(copy) = &work.copy {
             self.end_key(cx, copy, outcome::key_outcome(&outcome));
         }
@@ -248,8 +256,22 @@
     }
 }
 
+/// Records what an outcome says of a request that may crash targets.
+fn suspect(cx: &mut Context<'_>, work: &Work, outcome: &Outcome) {
+    let fingerprint = work.handover.fingerprint;
+    match outcome {
+        Outcome::Answered(_) => cx.suspicions.clear(&fingerprint),
+        Outcome::Broken | Outcome::Silent => {
+            let own = [cx.view.cfg().vm.clone()];
+            cx.suspicions.record(cx.now.mono, fingerprint, &own);
+        }
+        Outcome::NeverSent => {}
+    }
+}
+
 /// Returns the time left for the work, without the way of the reply.
-fn remaining(handover: &Handover) -> Duration {
-    let margin = (handover.remaining / REPLY_MARGIN_DIVISOR).min(MAX_REPLY_MARGIN);
-    handover.remaining.saturating_sub(margin)
+fn remaining(cx: &Context<'_>, handover: &Handover) -> Duration {
+    let remaining = handover.remaining.saturating_sub(cx.lost_time);
+    let margin = (remaining / REPLY_MARGIN_DIVISOR).min(MAX_REPLY_MARGIN);
+    remaining.saturating_sub(margin)
 }
--- a/crates/kernel/src/requests/admitting/waiter.rs
+++ b/crates/kernel/src/requests/admitting/waiter.rs
@@ -29,7 +29,13 @@
         inquiry: Inquiry,
     ) {
         let waiter = WaiterId(self.next_number());
+        if !cx.view.is_witness(cx.now.mono, &inquiry.from) {
+            self.strangers
+                .record(cx.now.mono, &inquiry.key, &inquiry.from);
+        }
+        let is_incomplete = self.strangers.have_judged(&inquiry.key, &inquiry.from);
         match self.journal.witness(cx.now, &inquiry, waiter) {
+            Witness::Vote(Seen::Fenced) if is_incomplete => vote(cx, origin, Seen::Behind),
             Witness::Vote(seen) => vote(cx, origin, seen),
             Witness::Wait => self.wait(waiter, Waiter::Judge(origin, Box::new(inquiry))),
         }
--- a/crates/kernel/src/requests/context.rs
+++ b/crates/kernel/src/requests/context.rs
@@ -1,6 +1,7 @@
 //! What every step of the decisions has at hand.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use celeryshore_model::Now;
 use celeryshore_model::Time;
@@ -12,6 +13,7 @@
 use crate::requests::ExchangeId;
 use crate::requests::InboundId;
 use crate::requests::RequestAction;
+use crate::requests::suspicions::Suspicions;
 use crate::requests::view::View;
 
 /// Time, configuration and outlets of one step.
@@ -27,6 +29,10 @@
     pub(super) loopback: &'a mut VecDeque<Loopback>,
     /// Number of the latest exchange.
     pub(super) exchanges: &'a mut u64,
+    /// Requests that may crash their targets.
+    pub(super) suspicions: &'a mut Suspicions,
+    /// Time that the process has just lost by a freeze.
+    pub(super) lost_time: Duration,
 }
 
 /// Message of a node to itself, in place of an exchange over the network.
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -22,6 +22,10 @@
     /// Gives an event to the side that it is for, and what follows from it.
     pub(super) fn handle(&mut self, cx: &mut Context<'_>, event: RequestEvent) {
         self.step(cx, event);
+        self.deliver_all(cx);
+    }
+
+    fn deliver_all(&mut self, cx: &mut Context<'_>) {
         while let Some(message) = cx.loopback.pop_front() {
             self.deliver(cx, message);
         }
@@ -49,6 +53,7 @@
             RequestEvent::Configured(_) => self.admitting.configured(cx),
             RequestEvent::Tick => {
                 self.admitting.expire(cx);
+                self.deliver_all(cx);
                 self.handing.expire(cx);
             }
             RequestEvent::Probed { claimed } => self.admitting.probed(cx, claimed),
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod call;
 mod peer_load;
+mod poison;
 mod retry;
 
 use std::collections::BTreeMap;
@@ -83,11 +84,18 @@
         }
     }
 
-    fn begin(&mut self, cx: &mut Context<'_>, id: CallId, call: Call) {
+    fn begin(&mut self, cx: &mut Context<'_>, id: CallId, mut call: Call) {
+        call.casualties = cx.suspicions.casualties(&call.fingerprint);
         if let Some(service) = cx.view.service(&call.kind.service) {
             let share = service.retry.budget;
             self.budget(&call).deposit(share);
         }
+        let now = cx.now.mono;
+        if let Some(retry_after) = cx.suspicions.hold_off(now, &call.fingerprint) {
+            let answer = retry::refusal_answer(&call, NotRun::Poison, retry_after);
+            self.answer(cx, id, answer);
+            return;
+        }
         self.deadlines.set(id, call.deadline);
         let answer = retry::refusal_answer(&call, NotRun::NoUpstream, RETRY_AFTER);
         self.hand_over(cx, id, call, answer);
@@ -104,7 +112,7 @@
     pub(super) fn expire(&mut self, cx: &mut Context<'_>) {
         while let Some(id) = self.deadlines.pop(cx.now.mono) {
             if let Some(leg) = self.close(cx, id) {
-                self.balancer.failed(cx.now.mono, &leg);
+                self.blame(cx, &leg);
             }
             self.answer(cx, id, retry::unknown_answer(Unknown::Deadline));
         }
@@ -118,12 +126,15 @@
         self.balancer.replied(cx, &leg, &reply);
         self.budget(&call).observe(is_overload(&reply.outcome));
         match reply.outcome {
-            ReplyOutcome::Answered(response) => self.answer(cx, id, Answer::Whole(response)),
+            ReplyOutcome::Answered(response) => {
+                cx.suspicions.clear(&call.fingerprint);
+                self.answer(cx, id, Answer::Whole(response));
+            }
             ReplyOutcome::NotRun {
                 reason,
                 retry_after,
             } => self.refused(cx, id, call, (reason, retry_after)),
-            ReplyOutcome::Unknown(reason) => self.uncertain(cx, id, call, reason),
+            ReplyOutcome::Unknown(reason) => self.uncertain(cx, id, call, &leg, reason),
         }
     }
 
@@ -166,6 +177,16 @@
         self.budgets.entry(call.kind.service.clone()).or_default()
     }
 
+    /// Blames an upstream for a deadline that passed, unless this process was
+    /// frozen meanwhile.
+    fn blame(&mut self, cx: &Context<'_>, leg: &Leg) {
+        if cx.lost_time.is_zero() {
+            self.balancer.failed(cx.now.mono, leg);
+        } else {
+            self.balancer.abandoned(leg);
+        }
+    }
+
     fn take(&mut self, exchange: ExchangeId) -> Option<(CallId, Call, Leg)> {
         let id = self.exchanges.remove(&exchange)?;
         let mut call = self.calls.remove(&id)?;
--- /dev/null
+++ b/crates/kernel/src/requests/handing/poison.rs
@@ -0,0 +1,67 @@
+//! What a lost target means for the request that it ran.
+
+use std::time::Duration;
+
+use celeryshore_model::HttpRequest;
+use celeryshore_model::Upstream;
+
+use super::call::Call;
+use super::call::Leg;
+use crate::Delivery;
+use crate::Handover;
+use crate::MemberState;
+use crate::Unknown;
+use crate::requests::context::Context;
+use crate::requests::suspicions::MAX_CASUALTIES;
+
+/// Time after which an announcement is given up.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Records the loss of a target or a node that ran a call, and tells the other
+/// upstreams of the service, so that a resend through any node is known.
+///
+/// A node that is only cut off says nothing of the request.
+pub(super) fn record_loss(cx: &mut Context<'_>, call: &mut Call, leg: &Leg, reason: Unknown) {
+    let is_target = reason == Unknown::TargetLost;
+    let is_node = reason == Unknown::PeerLost && cx.view.member(&leg.vm) != MemberState::Alive;
+    if !call.casualties.contains(&leg.vm) {
+        call.casualties.push(leg.vm.clone());
+    }
+    if is_target || is_node {
+        let casualties = [leg.vm.clone()];
+        let now = cx.now.mono;
+        let is_new = cx.suspicions.record(now, call.fingerprint, &casualties);
+        if is_new || leg.is_local {
+            announce(cx, call);
+        }
+    }
+}
+
+/// Tells whether a call was in flight at so many losses that it goes no further.
+pub(super) const fn is_poison(call: &Call) -> bool {
+    call.casualties.len() >= MAX_CASUALTIES
+}
+
+/// Makes the losses known by hand-overs that have no time left to run.
+fn announce(cx: &mut Context<'_>, call: &Call) {
+    let casualties = cx.suspicions.casualties(&call.fingerprint);
+    let deadline = cx.now.mono + ANNOUNCEMENT_TIMEOUT;
+    for upstream in cx.view.upstreams_of(&call.kind.service) {
+        if cx.view.is_usable(&upstream.vm) && upstream.vm != cx.view.cfg().vm {
+            let announcement = Handover {
+                casualties: casualties.clone(),
+                ..announcement(cx, call, &upstream)
+            };
+            cx.send(&upstream, Box::new(announcement).into(), deadline);
+        }
+    }
+}
+
+fn announcement(cx: &Context<'_>, call: &Call, upstream: &Upstream) -> Handover {
+    Handover {
+        delivery: Delivery::Repeatable,
+        remaining: Duration::ZERO,
+        request: HttpRequest::default(),
+        ..call.handover(cx, upstream)
+    }
+}
--- a/crates/kernel/src/requests/handing/retry.rs
+++ b/crates/kernel/src/requests/handing/retry.rs
@@ -6,6 +6,7 @@
 use super::RETRY_AFTER;
 use super::call::Call;
 use super::call::Leg;
+use super::poison;
 use crate::MemberState;
 use crate::NotRun;
 use crate::Unknown;
@@ -51,7 +52,7 @@
         } else if call.key().is_some() {
             self.judge(cx, id, call, leg);
         } else {
-            self.uncertain(cx, id, call, Unknown::PeerLost);
+            self.uncertain(cx, id, call, leg, Unknown::PeerLost);
         }
     }
 
@@ -61,11 +62,16 @@
         cx: &mut Context<'_>,
         id: CallId,
         mut call: Call,
+        leg: &Leg,
         reason: Unknown,
     ) {
         call.doubt = Some(reason);
+        if matches!(reason, Unknown::TargetLost | Unknown::PeerLost) {
+            poison::record_loss(cx, &mut call, leg, reason);
+        }
         let answer = unknown_answer(reason);
-        let is_repeatable = call.is_repeatable() && reason != Unknown::Deadline;
+        let is_repeatable =
+            call.is_repeatable() && reason != Unknown::Deadline && !poison::is_poison(&call);
         if is_repeatable && self.may_retry(cx, &call) {
             self.hand_over(cx, id, call, answer);
         } else {
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -4,6 +4,7 @@
 mod context;
 mod dispatch;
 mod event;
+mod freeze;
 mod handing;
 mod headers;
 mod journal;
@@ -11,6 +12,7 @@
 mod peers;
 mod rendezvous;
 mod section;
+mod suspicions;
 mod timers;
 mod view;
 
@@ -35,6 +37,7 @@
 pub use self::event::RequestAction;
 pub use self::event::RequestEvent;
 pub use self::event::WorkId;
+use self::freeze::Freeze;
 use self::handing::Handing;
 pub use self::journal::Begin;
 pub use self::journal::Journal;
@@ -45,6 +48,7 @@
 pub use self::journal::Witness;
 use self::lifecycle::Lifecycle;
 use self::lifecycle::Stage;
+use self::suspicions::Suspicions;
 use self::view::View;
 use crate::MemberState;
 
@@ -70,6 +74,8 @@
     view: View,
     sides: Sides,
     exchanges: u64,
+    suspicions: Suspicions,
+    freeze: Freeze,
     wake_at: Option<Time>,
     stage: Stage,
 }
@@ -104,6 +110,8 @@
             },
             view: View::new(cfg, now.mono),
             exchanges: 0,
+            suspicions: Suspicions::default(),
+            freeze: Freeze::default(),
             wake_at: None,
             stage: Lifecycle::new(now.mono).into(),
         }
@@ -145,7 +153,16 @@
     /// # Ok::<(), celeryshore_model::Error>(())
     /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
+        self.freeze.observe(now.mono, self.wake_at);
         self.prepare(now, &event);
+        if self.wake_at.is_some_and(|at| at <= now.mono) {
+            self.decide(now, RequestEvent::Tick, actions);
+        }
+        self.decide(now, event, actions);
+        self.settle(actions);
+    }
+
+    fn decide(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
         let mut loopback = VecDeque::new();
         let mut cx = Context {
             now,
@@ -153,9 +170,10 @@
             actions,
             loopback: &mut loopback,
             exchanges: &mut self.exchanges,
+            suspicions: &mut self.suspicions,
+            lost_time: self.freeze.lost_time(now.mono),
         };
         self.sides.handle(&mut cx, event);
-        self.settle(actions);
     }
 
     /// Asks for the next tick and reports the end of a drain.
--- a/crates/kernel/src/requests/section.rs
+++ b/crates/kernel/src/requests/section.rs
@@ -26,6 +26,7 @@
         "started": stage.started(),
         "calls": sides.handing.open(),
         "works": sides.admitting.open(),
+        "suspected": requests.suspicions.len(),
         "load": sides.admitting.load(),
     })
 }
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -80,12 +80,8 @@
     }
 
     fn published(&self) -> Vec<Upstream> {
-        let snapshot = self.snapshot();
-        let names = self.own_service().into_iter().flat_map(|s| &s.upstreams);
-        names
-            .filter_map(|name| snapshot?.upstreams.get(name))
-            .cloned()
-            .collect()
+        let own = self.own.as_ref();
+        own.map_or_else(Vec::new, |own| self.upstreams_of(&own.service))
     }
 
     /// Records the version that a message of a peer was sent under.
@@ -154,6 +150,16 @@
         self.snapshot()?.services.get(name)
     }
 
+    /// Returns the upstreams of a service.
+    pub(super) fn upstreams_of(&self, service: &ServiceName) -> Vec<Upstream> {
+        let snapshot = self.snapshot();
+        let names = self.service(service).into_iter().flat_map(|s| &s.upstreams);
+        names
+            .filter_map(|name| snapshot?.upstreams.get(name))
+            .cloned()
+            .collect()
+    }
+
     /// Tells whether this node's own upstream is out of service.
     pub(super) fn is_own_out(&self) -> bool {
         let snapshot = self.snapshot();
@@ -192,6 +198,11 @@
         own.map_or_else(Vec::new, |own| self.peers.witnesses(now, own))
     }
 
+    /// Tells whether a VM is one of those upstreams.
+    pub(super) fn is_witness(&self, now: Time, vm: &VmName) -> bool {
+        self.witnesses(now).iter().any(|u| u.vm == *vm)
+    }
+
     /// Tells whether all nodes know by now that this one is on the list.
     pub(super) fn is_settled(&self, now: Time) -> bool {
         self.peers.is_settled(now)
--- a/crates/kernel/tests/list_changes.rs
+++ b/crates/kernel/tests/list_changes.rs
@@ -121,3 +121,27 @@
     assert_eq!(unknown(&mesh, call), Unknown::NotJudged);
     assert_eq!(mesh.history.len(), 1, "the first send was made known");
 }
+
+#[test]
+fn skipped_version() {
+    let all = ordering(&ZONES);
+    let first = without_upstream(&all, "vm-3");
+    let mut mesh = Mesh::with(&all, &Arc::new(first.clone()));
+    let mut second = without_upstream(&all, "vm-2");
+    second.version.index.0 += 1;
+    let mut third = first;
+    third.version.index.0 += 2;
+    mesh.send("vm-3", RequestEvent::Configured(Arc::new(second)));
+    mesh.call("vm-3", resent(KEY, 1));
+    assert_eq!(mesh.runs[0].vm, name("vm-3"));
+    for vm in ["vm-1", "vm-2"] {
+        mesh.send(vm, RequestEvent::Configured(Arc::new(third.clone())));
+    }
+    let call = mesh.call("vm-2", resent(KEY, 2));
+    assert_eq!(unknown(&mesh, call), Unknown::NotJudged);
+    assert_eq!(
+        mesh.history.len(),
+        1,
+        "the third list lacks the one that ran it"
+    );
+}
--- /dev/null
+++ b/crates/kernel/tests/poison.rs
@@ -0,0 +1,144 @@
+//! Requests that crash each target that runs them.
+
+mod common;
+
+use std::sync::Arc;
+
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::CallId;
+use celeryshore_kernel::NotRun;
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::Unknown;
+use celeryshore_model::HttpRequest;
+
+use crate::common::Mesh;
+use crate::common::deployment::order;
+use crate::common::deployment::ordering;
+use crate::common::deployment::resent;
+use crate::common::deployment::stock;
+use crate::common::response;
+
+fn mesh() -> Mesh {
+    Mesh::new(&Arc::new(ordering(&["glasgow", "perth", "dundee", "ayr"])))
+}
+
+fn poison() -> HttpRequest {
+    HttpRequest {
+        path: "/stock?litres=crash".into(),
+        ..stock()
+    }
+}
+
+/// Crashes the target of every poisonous request that runs.
+fn crash_all(mesh: &mut Mesh) {
+    while let Some(run) = mesh.runs.iter().find(|r| r.request.path == poison().path) {
+        let vm = run.vm.clone();
+        let lost: Vec<_> = mesh.runs.iter().filter(|r| r.vm == vm).cloned().collect();
+        for run in lost {
+            mesh.finish(&run, Outcome::Broken);
+        }
+    }
+}
+
+fn is_held_off(mesh: &Mesh, call: CallId) -> bool {
+    matches!(
+        mesh.answers.get(&call),
+        Some(Answer::NotRun {
+            reason: NotRun::Poison,
+            ..
+        })
+    )
+}
+
+#[test]
+fn bounded_victims() {
+    let mut mesh = mesh();
+    let call = mesh.call("vm-1", poison());
+    crash_all(&mut mesh);
+    assert!(matches!(
+        mesh.answers[&call],
+        Answer::Unknown {
+            reason: Unknown::TargetLost,
+            ..
+        }
+    ));
+    assert_eq!(mesh.history.len(), 2);
+}
+
+#[test]
+fn sent_again() {
+    let mut mesh = mesh();
+    mesh.call("vm-1", poison());
+    crash_all(&mut mesh);
+    for vm in ["vm-1", "vm-2", "vm-3", "vm-4"] {
+        let call = mesh.call(vm, poison());
+        assert!(is_held_off(&mesh, call));
+    }
+    assert_eq!(mesh.history.len(), 2);
+}
+
+#[test]
+fn single_attempts() {
+    let mut mesh = mesh();
+    let crash = || HttpRequest {
+        path: "/order".into(),
+        body: "crash".into(),
+        ..order()
+    };
+    for vm in ["vm-1", "vm-2", "vm-3", "vm-4", "vm-1"] {
+        mesh.call(vm, crash());
+        for run in mesh.runs.clone() {
+            mesh.finish(&run, Outcome::Broken);
+        }
+    }
+    assert_eq!(mesh.history.len(), 2);
+}
+
+#[test]
+fn keyed_order() {
+    let mut mesh = mesh();
+    for attempt in 1..6 {
+        let vm = ["vm-1", "vm-2", "vm-3", "vm-4"][attempt as usize % 4];
+        mesh.call(vm, resent("order-17", attempt));
+        for run in mesh.runs.clone() {
+            mesh.finish(&run, Outcome::Broken);
+        }
+    }
+    assert_eq!(mesh.history.len(), 1);
+}
+
+#[test]
+fn innocent_request() {
+    let mut mesh = mesh();
+    for _ in 0..3 {
+        mesh.call("vm-1", stock());
+        mesh.call("vm-1", poison());
+        crash_all(&mut mesh);
+        while !mesh.runs.is_empty() {
+            mesh.answer("40");
+        }
+        mesh.advance(2_000);
+        let call = mesh.call("vm-2", stock());
+        assert!(!is_held_off(&mesh, call));
+        mesh.answer("40");
+        assert!(matches!(mesh.answers[&call], Answer::Whole(_)));
+    }
+}
+
+#[test]
+fn end_of_hold() {
+    let mut mesh = mesh();
+    mesh.call("vm-1", poison());
+    crash_all(&mut mesh);
+    mesh.advance(31_000);
+    let trial = mesh.call("vm-1", poison());
+    let beside = mesh.call("vm-1", poison());
+    assert_eq!(mesh.runs.len(), 1, "one copy finds out");
+    assert!(is_held_off(&mesh, beside));
+    mesh.answer("harmless");
+    assert!(matches!(mesh.answers[&trial], Answer::Whole(_)));
+    let call = mesh.call("vm-1", poison());
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Answered(response(200, "")));
+    assert!(matches!(mesh.answers[&call], Answer::Whole(_)));
+}
