Report counts and the state of requests

Cause: neither operators nor metrics could see what became of requests. Change: a status with counters by reason, load, queue, judgements and keys; two sections of the dump, one of them the load of each upstream as the node sees it. Ruled out: counting in each decision; the actions say it all in one place. Measured: a test compares the counts after each of the three ends.

--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -9,6 +9,7 @@
 mod latency;
 mod limit;
 mod outcome;
+mod status;
 mod strangers;
 mod task;
 mod waiter;
@@ -35,7 +36,6 @@
 use self::work::Work;
 use self::work::WorkState;
 use crate::Handover;
-use crate::LoadReport;
 use crate::Phase;
 use crate::Reply;
 use crate::ReplyOutcome;
@@ -93,11 +93,6 @@
         self.works.len() + self.waiters.len() + self.judgements.len()
     }
 
-    /// Returns the load of the target.
-    pub(super) fn load(&self) -> LoadReport {
-        self.admission.load()
-    }
-
     /// Returns the earliest deadline.
     pub(super) fn next_due(&self) -> Option<Time> {
         self.deadlines.next()
--- a/crates/kernel/src/requests/handing/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -76,6 +76,11 @@
         Some(upstream.clone())
     }
 
+    /// Returns what is known of the load of each upstream.
+    pub(super) fn loads(&self) -> impl Iterator<Item = (&UpstreamName, &PeerLoad)> {
+        self.loads.iter()
+    }
+
     /// Learns from the reply to a hand-over.
     pub(super) fn replied(&mut self, cx: &Context<'_>, leg: &Leg, reply: &Reply) {
         let now = cx.now.mono;
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -13,11 +13,13 @@
 use celeryshore_model::HttpRequest;
 use celeryshore_model::ServiceName;
 use celeryshore_model::Time;
+use celeryshore_model::UpstreamName;
 
 use self::balancer::Balancer;
 use self::budget::Budget;
 use self::call::Call;
 use self::call::Leg;
+use self::peer_load::PeerLoad;
 use crate::NotRun;
 use crate::Reply;
 use crate::ReplyOutcome;
@@ -41,6 +43,7 @@
     deadlines: Timers<CallId>,
     balancer: Balancer,
     budgets: BTreeMap<ServiceName, Budget>,
+    retries: u64,
 }
 
 impl Handing {
@@ -52,6 +55,7 @@
             deadlines: Timers::new(),
             balancer: Balancer::new(seed),
             budgets: BTreeMap::new(),
+            retries: 0,
         }
     }
 
@@ -60,6 +64,16 @@
         self.calls.len()
     }
 
+    /// Returns how many hand-overs were retries.
+    pub(super) const fn retries(&self) -> u64 {
+        self.retries
+    }
+
+    /// Returns what is known of the load of each upstream.
+    pub(super) fn loads(&self) -> impl Iterator<Item = (&UpstreamName, &PeerLoad)> {
+        self.balancer.loads()
+    }
+
     /// Returns the earliest deadline.
     pub(super) fn next_due(&self) -> Option<Time> {
         self.deadlines.next()
@@ -161,6 +175,7 @@
         };
         let handover = call.handover(cx, &upstream);
         let exchange = cx.send(&upstream, Box::new(handover).into(), call.deadline);
+        self.retries += u64::from(!call.tried.is_empty());
         call.attempts += 1;
         call.tried.push(upstream.name.clone());
         call.current = Some(Leg {
--- a/crates/kernel/src/requests/handing/peer_load.rs
+++ b/crates/kernel/src/requests/handing/peer_load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use celeryshore_model::Time;
+use serde::Serialize;
 
 use crate::LoadReport;
 use crate::Phase;
@@ -17,8 +18,8 @@
 const MAX_DOUBLINGS: u32 = 5;
 
 /// Load of one upstream: own work there, and the latest report.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct PeerLoad {
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(in crate::requests) struct PeerLoad {
     outstanding: u32,
     report: LoadReport,
     others: u32,
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -2,6 +2,7 @@
 
 mod admitting;
 mod context;
+mod counters;
 mod dispatch;
 mod event;
 mod freeze;
@@ -12,6 +13,7 @@
 mod peers;
 mod rendezvous;
 mod section;
+mod status;
 mod suspicions;
 mod timers;
 mod view;
@@ -27,6 +29,7 @@
 
 use self::admitting::Admitting;
 use self::context::Context;
+pub use self::counters::RequestCounters;
 use self::dispatch::Sides;
 pub use self::event::Answer;
 pub use self::event::CallId;
@@ -48,6 +51,7 @@
 pub use self::journal::Witness;
 use self::lifecycle::Lifecycle;
 use self::lifecycle::Stage;
+pub use self::status::RequestsStatus;
 use self::suspicions::Suspicions;
 use self::view::View;
 use crate::MemberState;
@@ -76,6 +80,7 @@
     exchanges: u64,
     suspicions: Suspicions,
     freeze: Freeze,
+    counters: RequestCounters,
     wake_at: Option<Time>,
     stage: Stage,
 }
@@ -112,6 +117,7 @@
             exchanges: 0,
             suspicions: Suspicions::default(),
             freeze: Freeze::default(),
+            counters: RequestCounters::default(),
             wake_at: None,
             stage: Lifecycle::new(now.mono).into(),
         }
@@ -153,12 +159,14 @@
     /// # Ok::<(), celeryshore_model::Error>(())
     /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
+        let earlier = actions.len();
         self.freeze.observe(now.mono, self.wake_at);
         self.prepare(now, &event);
         if self.wake_at.is_some_and(|at| at <= now.mono) {
             self.decide(now, RequestEvent::Tick, actions);
         }
         self.decide(now, event, actions);
+        self.counters.count(&actions[earlier..]);
         self.settle(actions);
     }
 
--- a/crates/kernel/src/requests/section.rs
+++ b/crates/kernel/src/requests/section.rs
@@ -1,32 +1,29 @@
-//! Section of the state dump about requests.
+//! Sections of the state dump about requests.
 
 use serde_json::Value;
 use serde_json::json;
 
 use crate::Kernel;
 use crate::Section;
-use crate::requests::Requests;
 
 inventory::submit! {
     Section {
         name: "requests",
-        render: |kernel: &Kernel| render(&kernel.requests),
+        render: |kernel: &Kernel| json!(kernel.requests.status()),
     }
 }
 
-fn render(requests: &Requests) -> Value {
-    let Requests {
-        view, sides, stage, ..
-    } = requests;
-    json!({
-        "vm": view.cfg().vm,
-        "incarnation": view.cfg().incarnation,
-        "version": view.version(),
-        "stage": stage.name(),
-        "started": stage.started(),
-        "calls": sides.handing.open(),
-        "works": sides.admitting.open(),
-        "suspected": requests.suspicions.len(),
-        "load": sides.admitting.load(),
-    })
+inventory::submit! {
+    Section {
+        name: "upstreams",
+        render: upstreams,
+    }
+}
+
+/// Renders the load of each upstream, as this node sees it.
+fn upstreams(kernel: &Kernel) -> Value {
+    let loads = kernel.requests.sides.handing.loads();
+    loads
+        .map(|(name, load)| (name.to_string(), json!(load)))
+        .collect()
 }
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -22,6 +22,7 @@
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::Requests;
 use celeryshore_kernel::RequestsConfig;
+use celeryshore_kernel::RequestsStatus;
 use celeryshore_kernel::WorkId;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
@@ -288,6 +289,11 @@
         self.settle();
     }
 
+    /// Returns the summary of a node.
+    pub fn status(&self, vm: &str) -> RequestsStatus {
+        self.nodes[&name(vm)].requests.status()
+    }
+
     /// Tells whether a node reported the end of its drain.
     pub fn is_drained(&self, vm: &str) -> bool {
         self.nodes[&name(vm)].is_drained
--- /dev/null
+++ b/crates/kernel/tests/counters.rs
@@ -0,0 +1,36 @@
+//! Counts of what became of requests.
+
+mod common;
+
+use std::sync::Arc;
+
+use celeryshore_kernel::NotRun;
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::Phase;
+use celeryshore_kernel::Unknown;
+
+use crate::common::Mesh;
+use crate::common::deployment::keyed;
+use crate::common::deployment::order;
+use crate::common::deployment::ordering;
+use crate::common::deployment::stock;
+
+#[test]
+fn three_ends() {
+    let mut mesh = Mesh::new(&Arc::new(ordering(&["glasgow"])));
+    mesh.call("vm-1", keyed("order-17"));
+    mesh.answer("ordered");
+    mesh.call("vm-1", order());
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Broken);
+    for _ in 0..7 {
+        mesh.call("vm-1", stock());
+    }
+    let status = mesh.status("vm-1");
+    assert_eq!(status.counters.answered, 1);
+    assert_eq!(status.counters.unknown[&Unknown::TargetLost], 1);
+    assert_eq!(status.counters.refused[&NotRun::ColdStart], 1);
+    assert_eq!(status.counters.runs, 4);
+    assert_eq!((status.calls, status.queue, status.keys), (6, 4, 1));
+    assert_eq!((status.load.limit, status.load.phase), (2, Phase::Cold));
+}
