Read the nodes' status and metrics as they are served

The status and the names of metrics were guesses until the operators' port stood. Asking the dump instead was ruled out: it is large, and polled often. Callers now wait for retry-after-ms if it is given.

--- a/crates/trials/examples/measure/config.rs
+++ b/crates/trials/examples/measure/config.rs
@@ -34,7 +34,7 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 const INDEX: &str = "x-consul-index";
 const KIB: u64 = 1_024;
-const CONTROL_BYTES: &str = "celeryshore_control_bytes_total";
+const CONTROL_BYTES: &str = "celeryshore_control_sent_bytes_total";
 
 /// A figure with two digits after the point.
 #[derive(Clone, Copy, Debug, Default, Display)]
--- a/crates/trials/src/caller.rs
+++ b/crates/trials/src/caller.rs
@@ -22,6 +22,7 @@
 const KEY: &str = "idempotency-key";
 const OUTCOME: &str = "celeryshore-outcome";
 const RETRY_AFTER: &str = "retry-after";
+const RETRY_AFTER_MS: &str = "retry-after-ms";
 const REASON: &str = "celeryshore-reason";
 const OK: u16 = 200;
 const BACKOFF: Duration = Duration::from_millis(50);
@@ -158,11 +159,10 @@
             };
         };
         self.with_pool(node, |clients| clients.push(client));
-        let retry_after = answer.header(RETRY_AFTER).and_then(|v| v.parse().ok());
         Reply {
             end: judge(kind, key, &answer),
             reason: answer.header(REASON).map(str::to_owned),
-            retry_after: retry_after.map(Duration::from_secs),
+            retry_after: retry_after(&answer),
         }
     }
 
@@ -172,6 +172,12 @@
     }
 }
 
+fn retry_after(answer: &Answer) -> Option<Duration> {
+    let number = |name| answer.header(name)?.parse().ok();
+    let millis = number(RETRY_AFTER_MS).map(Duration::from_millis);
+    millis.or_else(|| number(RETRY_AFTER).map(Duration::from_secs))
+}
+
 #[derive(Deserialize)]
 struct Echo {
     key: String,
--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -11,7 +11,6 @@
 
 use async_io::Timer;
 use celeryshore_model::Index;
-use celeryshore_model::Version;
 use celeryshore_standins::client::Client;
 use celeryshore_standins::executor::spawn;
 use celeryshore_standins::loopback;
@@ -334,8 +333,10 @@
     let mut client = Client::new(node, TIMEOUT);
     loop {
         let status: Value = client.get("/status").await.unwrap_or_default();
-        let version = status["version"].as_str().unwrap_or_default();
-        if version.parse().is_ok_and(|v: Version| v.index >= index) {
+        if status["index"]
+            .as_u64()
+            .is_some_and(|found| found >= index.0)
+        {
             return Ok(Instant::now());
         }
         wait(end, Awaited::Converged).await?;
