Add the control protocol between nodes

Cause: heartbeats and pulls of a newer configuration need a form on the wire. Ruled out: heartbeats over gRPC; a connection to each pinged member costs more than the heartbeat, and a silent connection would look like a dead member. Measured: datagrams of the largest names round trip and stay within the bound.

--- a/crates/kernel/src/fleet/message.rs
+++ b/crates/kernel/src/fleet/message.rs
@@ -15,8 +15,12 @@
 /// Largest encoded datagram in bytes; fits the usual MTU without fragments.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
-/// Upper bound of the encoded size of everything but names and updates, in bytes.
-const FIXED_BYTES: usize = 160;
+/// Upper bound of the size of everything but names and updates, with the headers
+/// of UDP and IP, in bytes.
+const FIXED_BYTES: usize = 200;
+
+/// Upper bound of what a request to ping adds, without its name, in bytes.
+const PING_REQUEST_BYTES: usize = 70;
 
 /// Upper bound of the encoded size of an update without its name, in bytes.
 const UPDATE_BYTES: usize = 30;
@@ -38,7 +42,7 @@
     pub fn size_bound(&self) -> usize {
         let sender = self.sender.vm.as_str().len() + self.sender.zone.as_str().len();
         let body = match &self.body {
-            DatagramBody::PingRequest { target, .. } => target.as_str().len() + UPDATE_BYTES,
+            DatagramBody::PingRequest { target, .. } => target.as_str().len() + PING_REQUEST_BYTES,
             _ => 0,
         };
         let updates: usize = self.updates.iter().map(Update::size_bound).sum();
--- a/crates/wire-gen/src/main.rs
+++ b/crates/wire-gen/src/main.rs
@@ -2,27 +2,9 @@
 //!
 //! Run it with `cargo run -p celeryshore-wire-gen` and commit what it writes.
 
-use std::fs;
 use std::path::Path;
-use std::path::PathBuf;
 
 fn main() -> anyhow::Result<()> {
     let wire = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
-    let proto = wire.join("proto");
-    let descriptors = protox::compile(sources(&proto)?, [&proto])?;
-    tonic_prost_build::configure()
-        .build_transport(false)
-        .bytes(".")
-        .out_dir(wire.join("src/generated"))
-        .compile_fds(descriptors)?;
-    Ok(())
-}
-
-fn sources(proto: &Path) -> std::io::Result<Vec<PathBuf>> {
-    let mut paths = Vec::new();
-    for entry in fs::read_dir(proto)? {
-        paths.push(entry?.path());
-    }
-    paths.sort();
-    Ok(paths)
+    celeryshore_wire_gen::generate(wire.join("src/generated"))
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -26,6 +26,7 @@
     Missing(&'static str),
     Value(&'static str),
     Model(celeryshore_model::Error),
+    Call(Box<tonic::Status>),
     Length { length: u64, limit: u64 },
 }
 
@@ -41,6 +42,9 @@
     /// The frame is longer than its limit.
     #[display("length")]
     Length,
+    /// The call did not come to a whole reply.
+    #[display("call")]
+    Call,
 }
 
 impl Error {
@@ -63,6 +67,7 @@
             Inner::Syntax(_) => Category::Syntax,
             Inner::Missing(_) | Inner::Value(_) | Inner::Model(_) => Category::Content,
             Inner::Length { .. } => Category::Length,
+            Inner::Call(_) => Category::Call,
         }
     }
 }
@@ -87,6 +92,12 @@
     }
 }
 
+impl From<tonic::Status> for Error {
+    fn from(err: tonic::Status) -> Self {
+        Inner::Call(Box::new(err)).into()
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &*self.inner {
@@ -94,6 +105,7 @@
             Inner::Missing(field) => write!(f, "missing field {field}"),
             Inner::Value(field) => write!(f, "value out of range in field {field}"),
             Inner::Model(err) => err.fmt(f),
+            Inner::Call(err) => write!(f, "call failed: {}", err.code()),
             Inner::Length { length, limit } => {
                 write!(
                     f,
--- /dev/null
+++ b/crates/wire/src/pull.rs
@@ -0,0 +1,178 @@
+//! Replies to a pull, as the chunks of a stream.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use celeryshore_kernel::DeltaStep;
+use celeryshore_kernel::Helper;
+use celeryshore_kernel::PullReply;
+use celeryshore_kernel::PullRequest;
+use celeryshore_model::Version;
+
+use crate::Error;
+use crate::Result;
+use crate::border;
+use crate::border::micros;
+use crate::border::required;
+use crate::border::text;
+use crate::datagram::address;
+use crate::generated::control as raw;
+use crate::generated::control::pull_chunk::Kind;
+
+/// Payload bytes of one chunk.
+const CHUNK_BYTES: usize = 64 * 1_024;
+
+/// Payload bytes that one pull may bring.
+const MAX_PULL_BYTES: usize = 8 * 1_024 * 1_024;
+
+impl From<PullRequest> for raw::PullRequest {
+    fn from(req: PullRequest) -> Self {
+        let holds = req.base != Version::default();
+        Self {
+            base: holds.then(|| req.base.into()),
+        }
+    }
+}
+
+impl TryFrom<raw::PullRequest> for PullRequest {
+    type Error = Error;
+
+    fn try_from(raw: raw::PullRequest) -> Result<Self> {
+        let base = match raw.base {
+            Some(base) => border::version(Some(base))?,
+            None => Version::default(),
+        };
+        Ok(Self { base })
+    }
+}
+
+/// Cuts a reply into the chunks of a stream.
+pub(crate) fn to_chunks(reply: PullReply) -> Vec<raw::PullChunk> {
+    let kinds = match reply {
+        PullReply::NotNewer { version } => vec![Kind::NotNewer(version.into())],
+        PullReply::Busy {
+            retry_after,
+            others,
+        } => vec![Kind::Busy(busy(retry_after, others))],
+        PullReply::Deltas(steps) => steps.into_iter().map(delta).collect(),
+        PullReply::Snapshot { version, packed } => snapshot(version, packed),
+    };
+    let count = kinds.len();
+    let chunks = kinds.into_iter().enumerate();
+    chunks
+        .map(|(i, kind)| raw::PullChunk {
+            kind: Some(kind),
+            last: i + 1 == count,
+        })
+        .collect()
+}
+
+fn busy(retry_after: Duration, others: Vec<Helper>) -> raw::Busy {
+    let others = others.into_iter().map(|helper| raw::Helper {
+        vm: helper.vm.to_string(),
+        control: helper.control.to_string(),
+    });
+    raw::Busy {
+        retry_after_us: micros(retry_after),
+        others: others.collect(),
+    }
+}
+
+fn delta(step: DeltaStep) -> Kind {
+    Kind::Delta(raw::DeltaStep {
+        version: Some(step.version.into()),
+        delta: step.delta,
+    })
+}
+
+fn snapshot(version: Version, mut packed: Bytes) -> Vec<Kind> {
+    let mut kinds = Vec::new();
+    let mut version = Some(version.into());
+    while version.is_some() || !packed.is_empty() {
+        let data = packed.split_to(packed.len().min(CHUNK_BYTES));
+        let version = version.take();
+        kinds.push(Kind::Snapshot(raw::SnapshotPart { version, data }));
+    }
+    kinds
+}
+
+/// Joins the chunks of a stream to a reply.
+#[derive(Default)]
+pub(crate) struct Assembly {
+    reply: Option<PullReply>,
+    version: Option<Version>,
+    steps: Vec<DeltaStep>,
+    packed: BytesMut,
+    bytes: usize,
+}
+
+impl Assembly {
+    /// Adds a chunk; returns the reply once it is whole.
+    pub(crate) fn push(&mut self, chunk: raw::PullChunk) -> Result<Option<PullReply>> {
+        match required(chunk.kind, "kind")? {
+            Kind::NotNewer(raw) => {
+                let version = border::version(Some(raw))?;
+                self.reply = Some(PullReply::NotNewer { version });
+            }
+            Kind::Busy(raw) => self.reply = Some(from_busy(raw)?),
+            Kind::Delta(raw) => self.push_delta(raw)?,
+            Kind::Snapshot(raw) => self.push_part(raw)?,
+        }
+        if chunk.last {
+            Ok(Some(self.finish()))
+        } else {
+            Ok(None)
+        }
+    }
+
+    fn push_delta(&mut self, raw: raw::DeltaStep) -> Result<()> {
+        self.count(raw.delta.len())?;
+        self.steps.push(DeltaStep {
+            version: border::version(raw.version)?,
+            delta: raw.delta,
+        });
+        Ok(())
+    }
+
+    fn push_part(&mut self, raw: raw::SnapshotPart) -> Result<()> {
+        self.count(raw.data.len())?;
+        if self.version.is_none() {
+            self.version = Some(border::version(raw.version)?);
+        }
+        self.packed.extend_from_slice(&raw.data);
+        Ok(())
+    }
+
+    fn count(&mut self, bytes: usize) -> Result<()> {
+        self.bytes += bytes;
+        if self.bytes > MAX_PULL_BYTES {
+            return Err(Error::length(self.bytes as u64, MAX_PULL_BYTES as u64));
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self) -> PullReply {
+        if let Some(reply) = self.reply.take() {
+            return reply;
+        }
+        if let Some(version) = self.version.take() {
+            let packed = std::mem::take(&mut self.packed).freeze();
+            return PullReply::Snapshot { version, packed };
+        }
+        PullReply::Deltas(std::mem::take(&mut self.steps))
+    }
+}
+
+fn from_busy(raw: raw::Busy) -> Result<PullReply> {
+    let others = raw.others.into_iter().map(|helper| {
+        Ok(Helper {
+            vm: text(&helper.vm)?,
+            control: address(&helper.control)?,
+        })
+    });
+    Ok(PullReply::Busy {
+        retry_after: Duration::from_micros(raw.retry_after_us),
+        others: others.collect::<Result<_>>()?,
+    })
+}
--- /dev/null
+++ b/crates/wire/tests/datagram.rs
@@ -0,0 +1,95 @@
+//! Datagrams survive the wire, and their size is bounded.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshore_kernel::Datagram;
+use celeryshore_kernel::DatagramBody;
+use celeryshore_kernel::MemberState;
+use celeryshore_kernel::Refutation;
+use celeryshore_kernel::Sender;
+use celeryshore_kernel::Sequence;
+use celeryshore_kernel::Update;
+use celeryshore_model::Digest;
+use celeryshore_model::Epoch;
+use celeryshore_model::Incarnation;
+use celeryshore_model::Index;
+use celeryshore_model::Version;
+use celeryshore_wire::DatagramFrame;
+
+/// Bytes of the headers of UDP over IPv6.
+const HEADER_BYTES: usize = 48;
+
+fn largest(body: DatagramBody) -> Datagram {
+    let name = "v".repeat(63);
+    let version = Version::new(Epoch(u64::MAX), Index(u64::MAX), Digest::of(b"text"));
+    let update = |state| Update {
+        vm: name.parse().unwrap(),
+        incarnation: Incarnation(u64::MAX),
+        refutation: Refutation(u32::MAX),
+        state,
+        unwell: true,
+    };
+    Datagram {
+        sender: Sender {
+            vm: name.parse().unwrap(),
+            zone: name.parse().unwrap(),
+            incarnation: Incarnation(u64::MAX),
+            refutation: Refutation(u32::MAX),
+            control: "255.255.255.255:65535".parse().unwrap(),
+            version,
+            view_age: Some(Duration::from_hours(1_000_000)),
+            leaving: true,
+            unwell: true,
+        },
+        body,
+        updates: vec![
+            update(MemberState::Alive),
+            update(MemberState::Suspect),
+            update(MemberState::Dead),
+            update(MemberState::Leaving),
+        ],
+    }
+}
+
+fn bodies() -> [DatagramBody; 4] {
+    [
+        DatagramBody::Ping(Sequence(u64::MAX)),
+        DatagramBody::Ack(Sequence(7)),
+        DatagramBody::PingRequest {
+            sequence: Sequence(u64::MAX),
+            target: "t".repeat(63).parse().unwrap(),
+            peer: "255.255.255.255:65535".parse().unwrap(),
+        },
+        DatagramBody::Announce,
+    ]
+}
+
+#[test]
+fn round_trip() {
+    for body in bodies() {
+        let datagram = largest(body);
+        let bytes = DatagramFrame::encode(datagram.clone());
+        assert_eq!(DatagramFrame::decode(bytes).unwrap(), datagram);
+    }
+}
+
+#[test]
+fn size_bound() {
+    for body in bodies() {
+        let datagram = largest(body);
+        let bound = datagram.size_bound();
+        let size = DatagramFrame::encode(datagram).len() + HEADER_BYTES;
+        assert!(size <= bound, "{size} > {bound}");
+    }
+}
+
+#[test]
+fn torn_datagram() {
+    let bytes = DatagramFrame::encode(largest(DatagramBody::Announce));
+    for end in 0..bytes.len() {
+        let torn = DatagramFrame::decode(bytes.slice(..end));
+        assert!(torn.is_err() || end > 0);
+    }
+    assert!(DatagramFrame::decode(Bytes::new()).is_err());
+}
