--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -1,8 +1,6 @@
 //! Decisions about requests: routing, admission, retries, at most once.
 
 mod admitting;
-mod balancer;
-mod call;
 mod context;
 mod dispatch;
 mod event;
@@ -10,7 +8,8 @@
 mod headers;
 mod journal;
 mod lifecycle;
-mod peer_load;
+mod peers;
+mod rendezvous;
 mod section;
 mod timers;
 mod view;
@@ -101,7 +100,7 @@
         Self {
             sides: Sides {
                 handing: Handing::new(cfg.seed),
-                admitting: Admitting::new(),
+                admitting: Admitting::new(cfg.vm.clone(), now),
             },
             view: View::new(cfg),
             exchanges: 0,
@@ -180,7 +179,7 @@
     /// Brings the view up to date before an event is decided on.
     fn prepare(&mut self, now: Now, event: &RequestEvent) {
         match event {
-            RequestEvent::Configured(snapshot) => self.view.configure(snapshot.clone()),
+            RequestEvent::Configured(snapshot) => self.view.configure(now, snapshot.clone()),
             RequestEvent::Member { vm, state } => {
                 self.view.observe(vm.clone(), *state);
                 if *vm == self.view.cfg().vm && *state == MemberState::Leaving {
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -1,7 +1,7 @@
 //! One connection of a caller.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use celeryshore_kernel::Answer;
@@ -10,8 +10,10 @@
 
 use crate::Result;
 use crate::callers::Callers;
+use crate::callers::LEAVING_GRACE;
 use crate::callers::answer;
 use crate::callers::gate::Pass;
+use crate::callers::record;
 use crate::callers::refusal::Refusal;
 use crate::error::Protocol;
 use crate::http;
@@ -21,10 +23,6 @@
 use crate::net;
 use crate::net::Stream;
 
-/// Time that an idle connection of a leaving node stays open, so that a request
-/// on its way to it is answered.
-const LEAVING_GRACE: Duration = Duration::from_secs(1);
-
 /// Serves the requests of one connection, one after the other.
 pub(super) async fn serve(callers: Arc<Callers>, stream: Stream, pass: Pass) {
     let mut conn = Connection::new(stream);
@@ -51,15 +49,18 @@
         Ok(None) => return Ok(Next::Close),
         Err(err) => {
             if let Some(refusal) = Refusal::of(&err) {
+                record::record_refusal(refusal);
                 write(callers, conn, &refusal.encode().await).await?;
             }
             return Err(err);
         }
     };
     let method = incoming.request.method.clone();
+    let start = Instant::now();
     let Some(answer) = decide(callers, conn, incoming.request).await else {
         return Ok(Next::Close);
     };
+    record::record(&answer, start);
     let closes = incoming.closes || pass.is_closing();
     let response = answer::response(answer);
     let bytes = http::encode_response(&response, &method, closes).await?;
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connection;
 mod gate;
+mod record;
 mod refusal;
 
 use std::net::TcpListener;
@@ -20,6 +21,9 @@
 use crate::net::Stream;
 use crate::settings::SettingsLimits;
 
+/// Time that a leaving node keeps idle connections and accepts new ones, so that
+/// a request on its way is answered.
+pub(crate) const LEAVING_GRACE: Duration = Duration::from_secs(1);
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the connections of callers share.
@@ -44,6 +48,7 @@
 
 async fn refuse(stream: Stream) {
     let conn = Connection::new(stream);
+    record::record_refusal(Refusal::Connections);
     let bytes = Refusal::Connections.encode().await;
     let _ = net::within(REFUSAL_TIMEOUT, conn.write(&bytes)).await;
 }
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use celeryshore_model::ByteSize;
-use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 
 use crate::Result;
 use crate::error::Protocol;
 use crate::http::feed::Feed;
+use crate::net;
 use crate::net::Stream;
 
 const READ_BYTES: usize = 8 * 1_024;
@@ -110,11 +110,7 @@
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
-        let start = self.buf.len();
-        self.buf.resize(start + READ_BYTES, 0);
-        let read = (&*self.stream).read(&mut self.buf[start..]).await;
-        self.buf.truncate(start + read.as_ref().map_or(0, |n| *n));
-        read
+        net::read_some(&self.stream, &mut self.buf, READ_BYTES).await
     }
 
     fn skip_empty_lines(&mut self) {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -50,7 +50,7 @@
 
 /// The main thread drives the reactor and runs tasks; others only run tasks.
 fn serve(settings: Settings) -> anyhow::Result<()> {
-    let log = celeryshore_node::logger(settings.log);
+    let (log, _guard) = celeryshore_node::logger(settings.log);
     for _ in 1..settings.threads {
         thread::spawn(|| async_io::block_on(EXECUTOR.run(future::pending::<()>())));
     }
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -4,13 +4,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_io::Async;
 use async_io::Timer;
+use bytes::BytesMut;
+use futures_lite::AsyncRead;
 use futures_lite::FutureExt;
+use futures_lite::future;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -42,6 +48,28 @@
     matches!(peeked, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Appends at most `max` bytes to `buf`; none at the end of the connection.
+///
+/// If the future is dropped before it is ready, `buf` is as it was.
+pub(crate) async fn read_some(
+    stream: &Stream,
+    buf: &mut BytesMut,
+    max: usize,
+) -> io::Result<usize> {
+    let start = buf.len();
+    let poll = |cx: &mut Context<'_>| {
+        buf.resize(start + max, 0);
+        let read = Pin::new(&mut &**stream).poll_read(cx, &mut buf[start..]);
+        let count = match &read {
+            Poll::Ready(Ok(count)) => *count,
+            _ => 0,
+        };
+        buf.truncate(start + count);
+        read
+    };
+    future::poll_fn(poll).await
+}
+
 /// Runs `fut` until it is ready or the time has come.
 pub(crate) async fn until<T>(end: Instant, fut: impl Future<Output = T>) -> Option<T> {
     let done = async { Some(fut.await) };
--- a/crates/node/src/peers/frames.rs
+++ b/crates/node/src/peers/frames.rs
@@ -6,11 +6,11 @@
 use bytes::BytesMut;
 use celeryshore_model::ByteSize;
 use celeryshore_wire::FrameLimit;
-use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 
 use crate::Result;
 use crate::error::Protocol;
+use crate::net;
 use crate::net::Stream;
 
 const READ_BYTES: usize = 16 * 1_024;
@@ -64,11 +64,7 @@
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
-        let start = self.buf.len();
-        self.buf.resize(start + READ_BYTES, 0);
-        let read = (&*self.stream).read(&mut self.buf[start..]).await;
-        self.buf.truncate(start + read.as_ref().map_or(0, |n| *n));
-        read
+        net::read_some(&self.stream, &mut self.buf, READ_BYTES).await
     }
 
     fn ended(&self) -> Result<Option<Bytes>> {
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -122,6 +122,9 @@
 
 impl Service for Connection {
     async fn answer(&self, mut req: Request, stream: Stream) -> Result<Response> {
+        if self.target.state().is_down() {
+            return Err(Error::Timeout);
+        }
         if self.generation < self.target.state().generation() {
             std::future::pending::<()>().await;
         }
