--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -2,8 +2,10 @@
 
 mod admitting;
 mod context;
+mod counters;
 mod dispatch;
 mod event;
+mod freeze;
 mod handing;
 mod headers;
 mod journal;
@@ -11,6 +13,8 @@
 mod peers;
 mod rendezvous;
 mod section;
+mod status;
+mod suspicions;
 mod timers;
 mod view;
 
@@ -25,6 +29,7 @@
 
 use self::admitting::Admitting;
 use self::context::Context;
+pub use self::counters::RequestCounters;
 use self::dispatch::Sides;
 pub use self::event::Answer;
 pub use self::event::CallId;
@@ -35,6 +40,7 @@
 pub use self::event::RequestAction;
 pub use self::event::RequestEvent;
 pub use self::event::WorkId;
+use self::freeze::Freeze;
 use self::handing::Handing;
 pub use self::journal::Begin;
 pub use self::journal::Journal;
@@ -45,6 +51,8 @@
 pub use self::journal::Witness;
 use self::lifecycle::Lifecycle;
 use self::lifecycle::Stage;
+pub use self::status::RequestsStatus;
+use self::suspicions::Suspicions;
 use self::view::View;
 use crate::MemberState;
 
@@ -70,6 +78,9 @@
     view: View,
     sides: Sides,
     exchanges: u64,
+    suspicions: Suspicions,
+    freeze: Freeze,
+    counters: RequestCounters,
     wake_at: Option<Time>,
     stage: Stage,
 }
@@ -104,6 +115,9 @@
             },
             view: View::new(cfg, now.mono),
             exchanges: 0,
+            suspicions: Suspicions::default(),
+            freeze: Freeze::default(),
+            counters: RequestCounters::default(),
             wake_at: None,
             stage: Lifecycle::new(now.mono).into(),
         }
@@ -145,7 +159,18 @@
     /// # Ok::<(), celeryshore_model::Error>(())
     /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
+        let earlier = actions.len();
+        self.freeze.observe(now.mono, self.wake_at);
         self.prepare(now, &event);
+        if self.wake_at.is_some_and(|at| at <= now.mono) {
+            self.decide(now, RequestEvent::Tick, actions);
+        }
+        self.decide(now, event, actions);
+        self.counters.count(&actions[earlier..]);
+        self.settle(actions);
+    }
+
+    fn decide(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
         let mut loopback = VecDeque::new();
         let mut cx = Context {
             now,
@@ -153,9 +178,10 @@
             actions,
             loopback: &mut loopback,
             exchanges: &mut self.exchanges,
+            suspicions: &mut self.suspicions,
+            lost_time: self.freeze.lost_time(now.mono),
         };
         self.sides.handle(&mut cx, event);
-        self.settle(actions);
     }
 
     /// Asks for the next tick and reports the end of a drain.
