--- a/crates/kernel/src/requests/handing/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -76,6 +76,11 @@
         Some(upstream.clone())
     }
 
+    /// Returns what is known of the load of each upstream.
+    pub(super) fn loads(&self) -> impl Iterator<Item = (&UpstreamName, &PeerLoad)> {
+        self.loads.iter()
+    }
+
     /// Learns from the reply to a hand-over.
     pub(super) fn replied(&mut self, cx: &Context<'_>, leg: &Leg, reply: &Reply) {
         let now = cx.now.mono;
@@ -137,7 +142,7 @@
             upstream,
             distance: distance(snapshot, &cx.view.cfg().zone, &upstream.zone),
             is_doubtful: is_suspect || load.is_avoided(now),
-            has_room: load.has_room(now, cold, sharers(snapshot, &upstream.zone)),
+            has_room: load.has_room(now, cold, cx.view.zone_size(&upstream.zone)),
             ratio: load.ratio(now, cold),
         }
     }
@@ -166,12 +171,6 @@
     }
 }
 
-/// Returns how many handing nodes are near an upstream of this zone.
-fn sharers(snapshot: &Snapshot, zone: &ZoneName) -> u32 {
-    let count = snapshot.upstreams.values().filter(|u| &u.zone == zone);
-    u32::try_from(count.count()).unwrap_or(u32::MAX)
-}
-
 fn choose<'a>(rng: &mut fastrand::Rng, candidates: &[Candidate<'a>]) -> Option<&'a Upstream> {
     let sound: Vec<_> = candidates.iter().filter(|c| !c.is_doubtful).collect();
     for distance in [Distance::Zone, Distance::Region, Distance::Far] {
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Kind;
@@ -16,6 +17,7 @@
 use celeryshore_model::Upstream;
 use celeryshore_model::Version;
 use celeryshore_model::VmName;
+use celeryshore_model::ZoneName;
 use celeryshore_rules::Router;
 
 use crate::MemberState;
@@ -26,23 +28,29 @@
 #[derive(Debug)]
 pub(super) struct View {
     cfg: RequestsConfig,
+    started: Time,
     router: Option<Router>,
     own: Option<Upstream>,
     peers: Peers,
+    newest: Version,
     members: BTreeMap<VmName, MemberState>,
+    zone_sizes: BTreeMap<ZoneName, u32>,
     is_leaving: bool,
     is_closed: bool,
 }
 
 impl View {
     /// Makes the view of a node that knows nothing.
-    pub(super) const fn new(cfg: RequestsConfig) -> Self {
+    pub(super) fn new(cfg: RequestsConfig, now: Time) -> Self {
         Self {
             cfg,
+            started: now,
             router: None,
             own: None,
             peers: Peers::new(),
+            newest: Version::default(),
             members: BTreeMap::new(),
+            zone_sizes: BTreeMap::new(),
             is_leaving: false,
             is_closed: false,
         }
@@ -53,14 +61,37 @@
         &self.cfg
     }
 
+    /// Returns how long this process has lived.
+    pub(super) fn uptime(&self, now: Time) -> Duration {
+        now - self.started
+    }
+
     /// Puts a configuration in force, unless a newer one is.
     pub(super) fn configure(&mut self, now: Now, snapshot: Arc<Snapshot>) {
         if snapshot.version < self.version() {
             return;
         }
         self.own = snapshot.upstream_on(&self.cfg.vm).cloned();
-        self.peers.configure(now, &snapshot, self.own.as_ref());
+        let old = self.router.as_ref().map(Router::snapshot);
+        self.peers.configure(now, old.map(Arc::as_ref), &snapshot);
+        self.zone_sizes = zone_sizes(&snapshot);
         self.router = Some(Router::new(snapshot));
+        self.peers.publish(now, self.published());
+    }
+
+    fn published(&self) -> Vec<Upstream> {
+        let own = self.own.as_ref();
+        own.map_or_else(Vec::new, |own| self.upstreams_of(&own.service))
+    }
+
+    /// Records the version that a message of a peer was sent under.
+    pub(super) fn hear_of(&mut self, version: Version) {
+        self.newest = self.newest.max(version);
+    }
+
+    /// Tells whether a peer has shown a newer version than the one in force.
+    pub(super) fn is_behind(&self) -> bool {
+        self.newest > self.version()
     }
 
     /// Records the state of a member.
@@ -119,6 +150,16 @@
         self.snapshot()?.services.get(name)
     }
 
+    /// Returns the upstreams of a service.
+    pub(super) fn upstreams_of(&self, service: &ServiceName) -> Vec<Upstream> {
+        let snapshot = self.snapshot();
+        let names = self.service(service).into_iter().flat_map(|s| &s.upstreams);
+        names
+            .filter_map(|name| snapshot?.upstreams.get(name))
+            .cloned()
+            .collect()
+    }
+
     /// Tells whether this node's own upstream is out of service.
     pub(super) fn is_own_out(&self) -> bool {
         let snapshot = self.snapshot();
@@ -132,6 +173,11 @@
         self.members.get(vm).copied().unwrap_or_default()
     }
 
+    /// Returns how many nodes lie in a zone.
+    pub(super) fn zone_size(&self, zone: &ZoneName) -> u32 {
+        self.zone_sizes.get(zone).copied().unwrap_or_default()
+    }
+
     /// Tells whether new work may go to the node on a VM.
     pub(super) fn is_usable(&self, vm: &VmName) -> bool {
         if *vm == self.cfg.vm {
@@ -148,7 +194,23 @@
 
     /// Returns the other upstreams that may have run a key of this node's service.
     pub(super) fn witnesses(&self, now: Time) -> Vec<Upstream> {
-        self.peers.witnesses(now, &self.cfg.vm)
+        let own = self.own.as_ref();
+        own.map_or_else(Vec::new, |own| self.peers.witnesses(now, own))
+    }
+
+    /// Tells whether a VM is one of those upstreams.
+    pub(super) fn is_witness(&self, now: Time, vm: &VmName) -> bool {
+        self.witnesses(now).iter().any(|u| u.vm == *vm)
+    }
+
+    /// Tells whether all nodes know by now that this one is on the list.
+    pub(super) fn is_settled(&self, now: Time) -> bool {
+        self.peers.is_settled(now)
+    }
+
+    /// Tells whether all upstreams that may have run a key are known.
+    pub(super) fn knows_witnesses(&self, now: Now, key: &RequestKey) -> bool {
+        self.peers.is_complete(now, key)
     }
 
     /// Returns a request kind by its service and name.
@@ -166,3 +228,11 @@
         })
     }
 }
+
+fn zone_sizes(snapshot: &Snapshot) -> BTreeMap<ZoneName, u32> {
+    let mut sizes = BTreeMap::new();
+    for upstream in snapshot.upstreams.values() {
+        *sizes.entry(upstream.zone.clone()).or_default() += 1;
+    }
+    sizes
+}
