Carry out the fleet's decisions in the node process

Cause: the node watched the platform by itself and knew no other nodes. Ruled out: a kept gRPC connection to each peer; pulls go to random peers, so a kept connection would be idle, and an idle one may be silent for good. Change: heartbeats by UDP at the peers' port, pulls by gRPC with HTTP/2 keep-alive, reads of the platform that the decisions ask for, and long work on a thread of its own. The watch in the node goes. Conclusion: one process now holds all decisions.

--- /dev/null
+++ b/crates/node/src/control/actions.rs
@@ -0,0 +1,124 @@
+//! Actions of the fleet's decisions.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::thread;
+
+use async_executor::StaticExecutor;
+use async_executor::Task;
+use async_io::Async;
+use celeryshore_kernel::FleetAction;
+use celeryshore_kernel::FleetEvent;
+use celeryshore_kernel::Prepare;
+use celeryshore_kernel::PullId;
+use celeryshore_kernel::PullRequest;
+use celeryshore_kernel::ReadId;
+use celeryshore_kernel::ReadQuery;
+use celeryshore_model::Time;
+
+use super::heartbeats;
+use super::platform::Platform;
+use super::pull;
+use super::serve::Inbound;
+use crate::driver::Driver;
+
+/// Carries out the actions of the fleet's decisions.
+pub(super) struct Actions {
+    ex: &'static StaticExecutor,
+    driver: Arc<Driver>,
+    socket: Arc<Async<UdpSocket>>,
+    inbound: Arc<Inbound>,
+    reads: HashMap<ReadId, Task<()>>,
+}
+
+impl Actions {
+    pub(super) fn new(
+        ex: &'static StaticExecutor,
+        driver: Arc<Driver>,
+        socket: Arc<Async<UdpSocket>>,
+        inbound: Arc<Inbound>,
+    ) -> Self {
+        Self {
+            ex,
+            driver,
+            socket,
+            inbound,
+            reads: HashMap::new(),
+        }
+    }
+
+    /// Carries out actions in their order until the task is dropped.
+    pub(super) async fn run(mut self, platform: Arc<Platform>) {
+        let actions = self.driver.fleet_actions();
+        while let Ok(action) = actions.recv().await {
+            self.carry_out(&platform, action);
+        }
+    }
+
+    fn carry_out(&mut self, platform: &Arc<Platform>, action: FleetAction) {
+        match action {
+            FleetAction::Send { to, datagram } => heartbeats::send(&self.socket, to, *datagram),
+            FleetAction::Pull {
+                pull,
+                control,
+                request,
+                deadline,
+            } => self.pull(pull, control, request, deadline),
+            FleetAction::PullReply { inbound, reply } => self.inbound.reply(inbound, reply),
+            FleetAction::Read {
+                read,
+                query,
+                deadline,
+            } => self.read(platform.clone(), read, query, deadline),
+            FleetAction::AbandonRead { read } => {
+                self.reads.remove(&read);
+            }
+            FleetAction::Prepare(work) => self.prepare(*work),
+            FleetAction::Report(report) => {
+                slog::info!(self.driver.log(), "fleet: {}", report);
+            }
+            FleetAction::Member { vm, state } => {
+                slog::info!(self.driver.log(), "fleet: member"; "vm" => %vm, "state" => %state);
+            }
+            // The driver itself acts on these.
+            FleetAction::Configured(_) | FleetAction::WakeAt(_) => {}
+        }
+    }
+
+    fn pull(&self, id: PullId, control: SocketAddr, request: PullRequest, deadline: Time) {
+        let (ex, driver) = (self.ex, self.driver.clone());
+        let end = driver.instant(deadline);
+        let task = async move {
+            let event = match pull::pull(ex, control, request, end).await {
+                Some(reply) => FleetEvent::Pulled { pull: id, reply },
+                None => FleetEvent::PullFailed { pull: id },
+            };
+            driver.handle(event);
+        };
+        self.ex.spawn(task).detach();
+    }
+
+    fn read(&mut self, platform: Arc<Platform>, read: ReadId, query: ReadQuery, deadline: Time) {
+        let driver = self.driver.clone();
+        let end = driver.instant(deadline);
+        let task = self.ex.spawn(async move {
+            let event = match platform.read(query, end).await {
+                Ok(answer) => FleetEvent::Read { read, answer },
+                Err(failure) => FleetEvent::ReadFailed { read, failure },
+            };
+            driver.handle(event);
+        });
+        self.reads.retain(|_, task| !task.is_finished());
+        self.reads.insert(read, task);
+    }
+
+    /// Runs long work on a thread of its own, so that requests don't wait for it.
+    fn prepare(&self, work: Prepare) {
+        let driver = self.driver.clone();
+        thread::spawn(move || {
+            driver.handle(FleetEvent::Prepared(Box::new(work.run())));
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/platform.rs
@@ -0,0 +1,167 @@
+//! Reads of the platform's service.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use celeryshore_kernel::ReadAnswer;
+use celeryshore_kernel::ReadFailure;
+use celeryshore_kernel::ReadQuery;
+use celeryshore_model::ByteSize;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::HttpResponse;
+use celeryshore_model::Index;
+use celeryshore_model::VmName;
+use serde::Deserialize;
+
+use crate::Error;
+use crate::Result;
+use crate::http;
+use crate::http::Connection;
+use crate::http::MessageLimits;
+use crate::net;
+use crate::settings::PlatformSettings;
+
+/// Header field with the modification index of an answer.
+const INDEX: &[u8] = b"x-consul-index";
+
+/// State of a VM in the platform's list that is to take no new work.
+const LEAVING: &str = "leaving";
+
+const LIMITS: MessageLimits = MessageLimits {
+    header: ByteSize::new(8 * 1_024 - 1),
+    body: ByteSize::new(2 * 1_024 * 1_024),
+};
+
+const OK: u16 = 200;
+
+/// The platform's service.
+pub(super) struct Platform {
+    settings: PlatformSettings,
+    /// Number of the address that is in use; moved on by every failure.
+    current: AtomicUsize,
+}
+
+impl Platform {
+    pub(super) fn new(settings: PlatformSettings) -> Self {
+        Self {
+            settings,
+            current: AtomicUsize::new(0),
+        }
+    }
+
+    /// Makes one call; the next one goes to another address if it fails.
+    pub(super) async fn read(
+        &self,
+        query: ReadQuery,
+        end: Instant,
+    ) -> std::result::Result<ReadAnswer, ReadFailure> {
+        let answer = self.try_read(&query, end).await;
+        if answer.is_err() {
+            self.current.fetch_add(1, Ordering::Relaxed);
+        }
+        answer
+    }
+
+    async fn try_read(
+        &self,
+        query: &ReadQuery,
+        end: Instant,
+    ) -> std::result::Result<ReadAnswer, ReadFailure> {
+        let response = net::until(end, get(self.address(), self.path(query)))
+            .await
+            .ok_or(ReadFailure::Timeout)?;
+        let response = response.map_err(|err| failure(&err))?;
+        if response.status != OK {
+            return Err(ReadFailure::Status);
+        }
+        let answer = match query {
+            ReadQuery::Vms => to_leaving(&response),
+            ReadQuery::Rules { .. } | ReadQuery::Part { .. } => to_value(response),
+        };
+        answer.ok_or(ReadFailure::Malformed)
+    }
+
+    fn address(&self) -> SocketAddr {
+        let addresses = &self.settings.addresses;
+        addresses[self.current.load(Ordering::Relaxed) % addresses.len()]
+    }
+
+    fn path(&self, query: &ReadQuery) -> String {
+        let key = &self.settings.key;
+        match query {
+            ReadQuery::Rules { index: None, .. } => format!("/v1/kv/{key}?raw"),
+            ReadQuery::Rules {
+                index: Some(index),
+                wait,
+            } => format!("/v1/kv/{key}?raw&index={index}&wait={}", seconds(*wait)),
+            ReadQuery::Part { key: part } => format!("/v1/kv/{}?raw", part_key(key, part)),
+            ReadQuery::Vms => "/v1/catalog/nodes".to_owned(),
+        }
+    }
+}
+
+fn failure(err: &Error) -> ReadFailure {
+    if err.is_malformed() {
+        ReadFailure::Malformed
+    } else {
+        ReadFailure::Unreachable
+    }
+}
+
+fn seconds(wait: Duration) -> String {
+    format!("{}s", wait.as_secs().max(1))
+}
+
+/// A part lies beside the rules key.
+fn part_key(key: &str, part: &str) -> String {
+    match key.rsplit_once('/') {
+        Some((folder, _)) => format!("{folder}/{part}"),
+        None => part.to_owned(),
+    }
+}
+
+async fn get(platform: SocketAddr, path: String) -> Result<HttpResponse> {
+    let request = HttpRequest {
+        method: Bytes::from_static(b"GET"),
+        host: platform.to_string().into(),
+        path: path.into(),
+        ..HttpRequest::default()
+    };
+    let mut conn = Connection::new(net::connect(platform).await?);
+    conn.write(&http::encode_request(&request).await?).await?;
+    let (response, _) = http::read_response(&mut conn, LIMITS, false).await?;
+    Ok(response)
+}
+
+fn to_value(response: HttpResponse) -> Option<ReadAnswer> {
+    let index = std::str::from_utf8(response.header(INDEX)?).ok()?;
+    Some(ReadAnswer::Value {
+        index: Index(index.parse().ok()?),
+        value: response.body,
+    })
+}
+
+/// A VM in the platform's list.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ListedVm {
+    node: VmName,
+    #[serde(default)]
+    meta: ListedMeta,
+}
+
+#[derive(Default, Deserialize)]
+struct ListedMeta {
+    #[serde(default)]
+    state: String,
+}
+
+fn to_leaving(response: &HttpResponse) -> Option<ReadAnswer> {
+    let vms: Vec<ListedVm> = serde_json::from_slice(&response.body).ok()?;
+    let leaving = vms.into_iter().filter(|vm| vm.meta.state == LEAVING);
+    Some(ReadAnswer::Leaving(leaving.map(|vm| vm.node).collect()))
+}
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -105,6 +106,11 @@
         self.ex.spawn(fut).detach();
     }
 
+    /// Returns the instant at which the decisions' clock shows `time`.
+    pub(crate) fn instant(&self, time: Time) -> Instant {
+        self.clock.instant(time)
+    }
+
     /// Takes one event and carries out what is decided.
     pub(crate) fn handle(self: &Arc<Self>, event: impl Into<Event>) {
         self.handle_locked(&mut self.lock(), event.into());
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -69,10 +69,6 @@
     BodyShort,
     #[display("body has no length")]
     BodyOpen,
-    #[display("unexpected status")]
-    Status,
-    #[display("answer has no index")]
-    Index,
     #[display("no answer in time")]
     Timeout,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod clock;
+mod control;
 mod driver;
 mod error;
 mod http;
@@ -17,7 +18,6 @@
 mod options;
 mod peers;
 mod settings;
-mod source;
 mod target;
 
 pub use crate::error::Category;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::sync::Arc;
 
 use async_executor::StaticExecutor;
@@ -23,6 +24,8 @@
 use crate::callers::Gate;
 use crate::callers::LEAVING_GRACE;
 use crate::clock::Clock;
+use crate::control;
+use crate::control::ControlPorts;
 use crate::driver::Driver;
 use crate::driver::DriverParts;
 use crate::operators;
@@ -30,7 +33,6 @@
 use crate::operators::Operators;
 use crate::peers;
 use crate::settings::PortName;
-use crate::source;
 use crate::target::Target;
 
 /// Where a node listens.
@@ -61,6 +63,10 @@
     pub fn start(ex: &'static StaticExecutor, settings: Settings, log: Logger) -> Result<Self> {
         let callers_port = open(PortName::Callers, settings.callers)?;
         let peer_port = open(PortName::Peer, settings.peer)?;
+        let control_ports = ControlPorts {
+            heartbeats: open_udp(peer_port.get_ref().local_addr()?)?,
+            pulls: open(PortName::Control, settings.control)?,
+        };
         let operators_port = open(PortName::Operators, settings.operators)?;
         let addresses = Addresses {
             callers: callers_port.get_ref().local_addr()?,
@@ -84,16 +90,20 @@
             metrics: metrics.clone(),
         });
         let accepting = vec![ex.spawn(callers::listen(callers.clone(), callers_port))];
-        let tasks = vec![
+        let mut tasks = vec![
             ex.spawn(peers::listen(driver.clone(), peer_port)),
             ex.spawn(peers::probe_idle(ex, driver.peers.clone())),
-            ex.spawn(source::log_reports(driver.clone())),
-            ex.spawn(source::watch(driver.clone(), settings.platform)),
             ex.spawn(operators::listen(operators, operators_port)),
             ex.spawn(metrics.upkeep()),
             ex.spawn(driver.clone().tick_requests()),
             ex.spawn(driver.clone().tick_fleet()),
         ];
+        tasks.extend(control::start(
+            ex,
+            &driver,
+            control_ports,
+            settings.platform,
+        ));
         Ok(Self {
             addresses,
             callers,
@@ -130,6 +140,11 @@
     Async::<TcpListener>::bind(addr).map_err(|err| Error::bind(port, addr, err))
 }
 
+/// Heartbeats come to the same port as hand-overs.
+fn open_udp(addr: SocketAddr) -> Result<Async<UdpSocket>> {
+    Async::<UdpSocket>::bind(addr).map_err(|err| Error::bind(PortName::Peer, addr, err))
+}
+
 fn kernel_config(settings: &Settings) -> KernelConfig {
     let incarnation = incarnation();
     let fleet = FleetConfig {
