--- a/crates/node/tests/ports.rs
+++ b/crates/node/tests/ports.rs
@@ -33,9 +33,25 @@
 }
 
 #[test]
-fn alive() {
+fn health() {
     let (_node, vm) = node();
     assert_eq!(page(vm, "/alive").status(), 200);
+    support::wait_for(|| page(vm, "/ready").status() == 200);
+}
+
+#[test]
+fn status() {
+    let (_node, vm) = node();
+    support::wait_for(|| page(vm, "/ready").status() == 200);
+    let status = json(vm, "/status");
+    assert_eq!(status["vm"], "vm-1");
+    assert_eq!(status["zone"], "glasgow");
+    assert_eq!(status["index"], 7);
+    assert!(status["version"].as_str().unwrap().starts_with("1.7."));
+    assert_eq!(status["state"], "serving");
+    for key in ["age_ms", "role", "phase", "in_flight", "limit"] {
+        assert!(status.get(key).is_some(), "{key}");
+    }
 }
 
 #[test]
