Bound the ticks of the decisions by grains of 5 ms

Cause: each call asked for a tick at its deadline, and each of those ticks set a timer of async-io two seconds later. Change: wake-ups are rounded up to grains of 5 ms.

--- a/crates/node/src/driver/wake.rs
+++ b/crates/node/src/driver/wake.rs
@@ -13,6 +13,8 @@
 
 use crate::clock::Clock;
 
+const GRAIN_MICROS: u64 = 5_000;
+
 /// Times that were asked for and have not come.
 pub(super) struct Wake {
     times: Mutex<BTreeSet<Time>>,
@@ -29,8 +31,12 @@
 }
 
 impl Wake {
-    /// Asks for a tick at `time`.
+    /// Asks for a tick at `time`, or at the end of the grain that it lies in.
+    ///
+    /// Each call under way asks for a tick at its deadline, so grains keep the
+    /// number of ticks in a second bounded.
     pub(super) fn at(&self, time: Time) {
+        let time = Time::from_micros(time.as_micros().next_multiple_of(GRAIN_MICROS));
         let mut times = self.lock();
         let is_earliest = times.first().is_none_or(|first| time < *first);
         times.insert(time);
