--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -123,13 +123,20 @@
         driver.handle(RequestEvent::Drain);
         Timer::after(LEAVING_GRACE).await;
         driver.drained().await;
-        drop(self.accepting);
+        cancel(self.accepting).await;
         self.callers.gate.emptied().await;
-        drop(self.tasks);
+        cancel(self.tasks).await;
         slog::info!(driver.log(), "node: drained");
     }
 }
 
+/// Cancels tasks and waits until they have closed what they held.
+async fn cancel(tasks: Vec<Task<()>>) {
+    for task in tasks {
+        task.cancel().await;
+    }
+}
+
 /// Open ports of a node.
 struct Ports {
     callers: Async<TcpListener>,
