Add a small language for scenarios in virtual time

Cause: the promises are to be proved by scripted scenarios on the decisions. Change: a winnow grammar, fakes for platform, targets, network and clock, and a naive version in which every node polls and applies what it reads. Whatever a scenario expects, it fails on going back, a second run of a key, another's answer, a false refusal, an older configuration at the receiver, and an overrun cold target. Ruled out: comparing the random scripts with the naive version step by step, since its requests share the code under test.

--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -1,6 +1,7 @@
-//! Trials of celeryshore with real processes, and what they are made of.
+//! Trials of celeryshore, with real processes or in virtual time.
 //!
-//! A trial starts a [`fleet`] of nodes with the stand-ins of one
+//! A [`scenario`] plays the decisions in virtual time, without processes. A
+//! trial starts a [`fleet`] of nodes with the stand-ins of one
 //! [`deployment`], sends requests as a [`caller`] or under [`load`], causes
 //! faults, and reports what it saw. Nothing here is shipped.
 
@@ -12,5 +13,6 @@
 pub mod process;
 pub mod report;
 mod rules;
+pub mod scenario;
 mod settings;
 mod vm;
--- /dev/null
+++ b/crates/trials/src/scenario/deployment.rs
@@ -0,0 +1,84 @@
+//! The rules of a scenario's deployment.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use celeryshore_model::VmName;
+use celeryshore_model::ZoneName;
+
+use super::script::Place;
+
+/// Requests that a warm target runs at one time.
+pub(super) const SLOTS: usize = 6;
+
+/// Requests that a target in cold start runs at one time.
+pub(super) const COLD_SLOTS: usize = 1;
+
+/// Path of the requests that are to run at most once.
+pub(super) const AT_MOST_ONCE_PATH: &[u8] = b"/place-order";
+
+const PEER_PORT: u16 = 7_100;
+const CONTROL_PORT: u16 = 7_200;
+const FIRST_IP: u32 = 0x0a00_0000;
+
+/// Returns the name of the VM of a node, counted from 0.
+pub(super) fn vm(node: usize) -> VmName {
+    let name = format!("n{}", node + 1);
+    name.parse().expect("`n` and a number is a name")
+}
+
+/// Returns where a node takes hand-overs and heartbeats.
+pub(super) fn peer(node: usize) -> SocketAddr {
+    address(node, PEER_PORT)
+}
+
+/// Returns where a node serves its configuration.
+pub(super) fn control(node: usize) -> SocketAddr {
+    address(node, CONTROL_PORT)
+}
+
+fn address(node: usize, port: u16) -> SocketAddr {
+    let host = FIRST_IP + u32::try_from(node).unwrap_or_default() + 1;
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::from(host)), port)
+}
+
+/// Returns the first rules: one service with an upstream at each node.
+pub(super) fn rules(zones: &[ZoneName], zone_of: &[ZoneName]) -> Vec<String> {
+    let mut rules = vec!["epoch 1".to_owned()];
+    rules.extend(zones.iter().map(|zone| format!("zone {zone} region=r")));
+    rules.push(format!(
+        "service ordering slots={SLOTS} cold-slots={COLD_SLOTS} queue=12 connections=110"
+    ));
+    for (kind, semantics, deadline) in [
+        ("place-order", "at-most-once", "2s"),
+        ("look", "idempotent", "1s"),
+    ] {
+        rules.push(format!(
+            "kind ordering/{kind} semantics={semantics} deadline={deadline}"
+        ));
+        rules.push(format!(
+            "route {kind} path=/{kind} service=ordering kind={kind}"
+        ));
+    }
+    for (node, zone) in zone_of.iter().enumerate() {
+        let (vm, peer, control) = (vm(node), peer(node), control(node));
+        rules.push(format!(
+            "upstream {vm} service=ordering zone={zone} vm={vm} peer={peer} control={control}"
+        ));
+    }
+    rules.iter().map(|rule| signed(rule)).collect()
+}
+
+/// Returns the rule that takes a place out of service.
+pub(super) fn outage(place: &Place) -> Option<String> {
+    match place {
+        Place::Everywhere => None,
+        Place::Zone(zone) => Some(signed(&format!("out zone={zone}"))),
+        Place::Node(node) => Some(signed(&format!("out vm=n{node}"))),
+    }
+}
+
+fn signed(rule: &str) -> String {
+    format!("{rule}  # scenario")
+}
--- /dev/null
+++ b/crates/trials/src/scenario/naive.rs
@@ -0,0 +1,89 @@
+//! The naive version: every node polls the platform and applies what it reads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryshore_kernel::Action;
+use celeryshore_kernel::Event;
+use celeryshore_kernel::FleetAction;
+use celeryshore_kernel::FleetEvent;
+use celeryshore_kernel::ReadAnswer;
+use celeryshore_kernel::ReadId;
+use celeryshore_kernel::ReadQuery;
+use celeryshore_kernel::RequestAction;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::Requests;
+use celeryshore_kernel::RequestsConfig;
+use celeryshore_model::Digest;
+use celeryshore_model::Index;
+use celeryshore_model::Now;
+
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// A node that polls the platform and applies what it reads, older or newer.
+#[derive(Debug)]
+pub(super) struct Naive {
+    requests: Requests,
+    reads: u64,
+    applied: Option<(Index, Digest)>,
+}
+
+impl Naive {
+    /// Makes a node that starts now.
+    pub(super) fn new(cfg: RequestsConfig, now: Now) -> Self {
+        Self {
+            requests: Requests::new(cfg, now),
+            reads: 0,
+            applied: None,
+        }
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub(super) fn handle(&mut self, now: Now, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Fleet(FleetEvent::Tick) => self.poll(now, actions),
+            Event::Fleet(FleetEvent::Read { answer, .. }) => self.apply(now, answer, actions),
+            Event::Fleet(_) => {}
+            Event::Request(event) => self.on_request(now, event, actions),
+        }
+    }
+
+    fn poll(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.reads += 1;
+        let read = FleetAction::Read {
+            read: ReadId(self.reads),
+            query: ReadQuery::Rules {
+                index: None,
+                wait: Duration::ZERO,
+            },
+            deadline: now.mono + PERIOD,
+        };
+        actions.push(read.into());
+        actions.push(FleetAction::WakeAt(now.mono + PERIOD).into());
+    }
+
+    fn apply(&mut self, now: Now, answer: ReadAnswer, actions: &mut Vec<Action>) {
+        let ReadAnswer::Value { index, value } = answer else {
+            return;
+        };
+        let read = Some((index, Digest::of(&value)));
+        if self.applied == read {
+            return;
+        }
+        let Ok(snapshot) = celeryshore_rules::from_slice(&value, index) else {
+            return;
+        };
+        self.applied = read;
+        let snapshot = Arc::new(snapshot);
+        actions.push(FleetAction::Configured(Arc::clone(&snapshot)).into());
+        self.on_request(now, RequestEvent::Configured(snapshot), actions);
+    }
+
+    fn on_request(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<Action>) {
+        let mut own = Vec::new();
+        self.requests.handle(now, event, &mut own);
+        let catches_up = |action: &RequestAction| matches!(action, RequestAction::CatchUp { .. });
+        own.retain(|action| !catches_up(action));
+        actions.extend(own.into_iter().map(Action::from));
+    }
+}
