--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -83,7 +83,7 @@
     #[from(skip)]
     #[error(ignore)]
     Status(StatusCode),
-    #[display("{_0}")]
+    #[display("connection failed")]
     Connection(io::Error),
     #[display("{_0}")]
     #[error(ignore)]
