Wait shortly for a version that is on its way

Cause: while a configuration spread, every hand-over from a node that had it to one that did not was refused and cost a retry. Ruled out: running it under the older version, whose routes may be wrong. Change: such a hand-over waits for at most 100 ms or a quarter of its time left, and the node catches up meanwhile. Conclusion: a change of the configuration no longer costs refusals by itself.

--- a/crates/kernel/src/requests/admitting/check.rs
+++ b/crates/kernel/src/requests/admitting/check.rs
@@ -5,7 +5,6 @@
 use crate::Delivery;
 use crate::Handover;
 use crate::NotRun;
-use crate::requests::RequestAction;
 use crate::requests::context::Context;
 use crate::requests::suspicions::MAX_CASUALTIES;
 
@@ -15,7 +14,7 @@
 /// Checks a hand-over against this node's configuration and state.
 pub(super) fn check(cx: &mut Context<'_>, handover: &Handover) -> Result<()> {
     check_poison(cx, handover)?;
-    check_version(cx, handover)?;
+    check_known(cx)?;
     check_upstream(cx, handover)?;
     check_kind(cx, handover)
 }
@@ -31,18 +30,8 @@
     Ok(())
 }
 
-fn check_version(cx: &mut Context<'_>, handover: &Handover) -> Result<()> {
-    if cx.view.snapshot().is_none() {
-        return Err(NotRun::Learning);
-    }
-    if handover.version > cx.view.version() {
-        cx.actions.push(RequestAction::CatchUp {
-            version: handover.version,
-            from: handover.from.clone(),
-        });
-        return Err(NotRun::Behind);
-    }
-    Ok(())
+fn check_known(cx: &Context<'_>) -> Result<()> {
+    cx.view.snapshot().map(|_| ()).ok_or(NotRun::Learning)
 }
 
 fn check_upstream(cx: &Context<'_>, handover: &Handover) -> Result<()> {
--- a/crates/kernel/src/requests/admitting/expiry.rs
+++ b/crates/kernel/src/requests/admitting/expiry.rs
@@ -28,6 +28,7 @@
             match task {
                 Task::Work(id) => self.expire_work(cx, id),
                 Task::Waiter(id) => self.expire_waiter(cx, id),
+                Task::Parked(id) => self.expire_parked(cx, id),
                 Task::Judgement(id) => self.expire_judgement(cx, id),
             }
         }
@@ -39,6 +40,7 @@
         match self.origins.remove(&origin) {
             Some(Task::Work(id)) => self.withdraw_work(cx, id),
             Some(Task::Waiter(id)) => drop(self.end_wait(id)),
+            Some(Task::Parked(id)) => drop(self.end_parking(id)),
             Some(Task::Judgement(id)) => drop(self.end_judgement(cx, id)),
             None => {}
         }
--- a/crates/kernel/src/requests/admitting/keyed.rs
+++ b/crates/kernel/src/requests/admitting/keyed.rs
@@ -52,7 +52,7 @@
     ) {
         let origin = arrival.origin;
         let outcome = match begin {
-            Begin::Run => return self.admit(cx, arrival),
+            Begin::Run => return self.admit(cx, arrival, Some(copy.clone())),
             Begin::Judge { fence, vouches } => {
                 return self.judge(cx, arrival, copy, fence, vouches);
             }
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -9,6 +9,7 @@
 mod latency;
 mod limit;
 mod outcome;
+mod parking;
 mod status;
 mod strangers;
 mod task;
@@ -30,6 +31,7 @@
 use self::limit::Evidence;
 use self::strangers::Strangers;
 use self::task::JudgementId;
+use self::task::ParkedId;
 use self::task::Task;
 use self::task::WaiterId;
 use self::waiter::Waiter;
@@ -43,6 +45,7 @@
 use crate::requests::Journal;
 use crate::requests::JournalConfig;
 use crate::requests::KeyOutcome;
+use crate::requests::KeyedCopy;
 use crate::requests::Outcome;
 use crate::requests::RequestAction;
 use crate::requests::WorkId;
@@ -61,6 +64,7 @@
 pub(super) struct Admitting {
     works: BTreeMap<WorkId, Work>,
     waiters: BTreeMap<WaiterId, Waiter>,
+    parked: BTreeMap<ParkedId, Arrival>,
     judgements: BTreeMap<JudgementId, Judgement>,
     inquiries: BTreeMap<ExchangeId, JudgementId>,
     origins: BTreeMap<Origin, Task>,
@@ -77,6 +81,7 @@
         Self {
             works: BTreeMap::new(),
             waiters: BTreeMap::new(),
+            parked: BTreeMap::new(),
             judgements: BTreeMap::new(),
             inquiries: BTreeMap::new(),
             origins: BTreeMap::new(),
@@ -90,7 +95,7 @@
 
     /// Returns the number of requests that wait, run or are judged.
     pub(super) fn open(&self) -> usize {
-        self.works.len() + self.waiters.len() + self.judgements.len()
+        self.works.len() + self.waiters.len() + self.parked.len() + self.judgements.len()
     }
 
     /// Returns the earliest deadline.
@@ -103,6 +108,7 @@
         if let Some(limits) = cx.view.own_limits() {
             self.admission.configure(limits);
         }
+        self.unpark(cx);
         self.fill(cx);
     }
 
@@ -129,12 +135,22 @@
             handover,
             deadline,
         };
+        if cx.view.is_older_than(arrival.handover.version) {
+            self.park(cx, arrival);
+        } else {
+            self.accept(cx, arrival);
+        }
+    }
+
+    /// Takes a request that was routed under a version that is known here.
+    fn accept(&mut self, cx: &mut Context<'_>, arrival: Arrival) {
+        let origin = arrival.origin;
         if let Some(copy) = arrival::keyed_copy(cx, &arrival.handover) {
             self.received_copy(cx, arrival, &copy);
             return;
         }
         match check::check(cx, &arrival.handover) {
-            Ok(()) => self.admit(cx, arrival),
+            Ok(()) => self.admit(cx, arrival, None),
             Err(reason) => self.reply(cx, origin, Refusal::new(reason).into()),
         }
     }
@@ -158,18 +174,18 @@
     }
 
     /// Runs a request, lets it wait for a slot, or refuses it.
-    fn admit(&mut self, cx: &mut Context<'_>, arrival: Arrival) {
+    fn admit(&mut self, cx: &mut Context<'_>, arrival: Arrival, copy: Option<KeyedCopy>) {
         let verdict = self
             .admission
             .judge(cx.now.mono, arrival.deadline - cx.now.mono);
         if let Verdict::Refuse(refusal) = verdict {
             self.reply(cx, arrival.origin, refusal.into());
-            if let Some(copy) = arrival::keyed_copy(cx, &arrival.handover) {
+            if let Some(copy) = copy {
                 self.end_key(cx, &copy, KeyOutcome::NotRun);
             }
             return;
         }
-        let id = self.add(cx, arrival);
+        let id = self.add(arrival, copy);
         if verdict == Verdict::Run {
             self.run(cx, id);
         } else {
@@ -177,13 +193,13 @@
         }
     }
 
-    fn add(&mut self, cx: &Context<'_>, arrival: Arrival) -> WorkId {
+    fn add(&mut self, arrival: Arrival, copy: Option<KeyedCopy>) -> WorkId {
         let id = WorkId(self.next_number());
         self.origins.insert(arrival.origin, id.into());
         self.deadlines.set(id.into(), arrival.deadline);
         let work = Work {
             origin: Some(arrival.origin),
-            copy: arrival::keyed_copy(cx, &arrival.handover),
+            copy,
             handover: arrival.handover,
             deadline: arrival.deadline,
             state: WorkState::Queued,
--- a/crates/kernel/src/requests/admitting/task.rs
+++ b/crates/kernel/src/requests/admitting/task.rs
@@ -8,6 +8,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct WaiterId(pub(super) u64);
 
+/// A request that waits for a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ParkedId(pub(super) u64);
+
 /// A judgement of a keyed copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct JudgementId(pub(super) u64);
@@ -19,6 +23,8 @@
     Work(WorkId),
     /// Someone who waits for the end of a keyed copy.
     Waiter(WaiterId),
+    /// A request that waits for a configuration.
+    Parked(ParkedId),
     /// A judgement of a keyed copy.
     Judgement(JudgementId),
 }
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -94,6 +94,11 @@
         self.newest > self.version()
     }
 
+    /// Tells whether there is a configuration, but one that is older than this.
+    pub(super) fn is_older_than(&self, version: Version) -> bool {
+        self.snapshot().is_some_and(|s| s.version < version)
+    }
+
     /// Records the state of a member.
     pub(super) fn observe(&mut self, vm: VmName, state: MemberState) {
         self.members.insert(vm, state);
--- a/crates/kernel/tests/list_changes.rs
+++ b/crates/kernel/tests/list_changes.rs
@@ -93,6 +93,7 @@
         .find(|key| key_order(key, 3).ends_with(&["vm-1".to_owned()]))
         .expect("a key that comes last to vm-1");
     mesh.call("vm-2", keyed(&key));
+    mesh.advance(100);
     assert_eq!(mesh.runs[0].vm, name("vm-2"));
     mesh.held.insert(name("vm-1"));
     mesh.held.insert(name("vm-3"));
@@ -133,6 +134,7 @@
     third.version.index.0 += 2;
     mesh.send("vm-3", RequestEvent::Configured(Arc::new(second)));
     mesh.call("vm-3", resent(KEY, 1));
+    mesh.advance(100);
     assert_eq!(mesh.runs[0].vm, name("vm-3"));
     for vm in ["vm-1", "vm-2"] {
         mesh.send(vm, RequestEvent::Configured(Arc::new(third.clone())));
