--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -41,6 +42,7 @@
 use crate::peers::Peers;
 use crate::target::Target;
 use crate::target::TargetLimits;
+use crate::timers::Timers;
 
 /// Everything that the tasks of a node share.
 pub(crate) struct Driver {
@@ -48,6 +50,7 @@
     log: Logger,
     clock: Clock,
     vm: VmName,
+    pub(crate) timers: Arc<Timers>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) target: Arc<Target>,
     request_wake: Wake,
@@ -71,6 +74,7 @@
     pub(crate) log: Logger,
     pub(crate) cfg: KernelConfig,
     pub(crate) target: Target,
+    pub(crate) timers: Arc<Timers>,
 }
 
 impl Driver {
@@ -87,8 +91,9 @@
             log: parts.log,
             clock,
             vm,
-            peers: Arc::default(),
+            peers: Arc::new(Peers::new(parts.timers.clone())),
             target: Arc::new(parts.target),
+            timers: parts.timers,
             request_wake: Wake::default(),
             fleet_wake: Wake::default(),
             fleet_actions: async_channel::unbounded(),
@@ -105,6 +110,11 @@
         self.ex.spawn(fut).detach();
     }
 
+    /// Returns the instant at which the decisions' clock shows `time`.
+    pub(crate) fn instant(&self, time: Time) -> Instant {
+        self.clock.instant(time)
+    }
+
     /// Takes one event and carries out what is decided.
     pub(crate) fn handle(self: &Arc<Self>, event: impl Into<Event>) {
         self.handle_locked(&mut self.lock(), event.into());
