Say 'unknown' while an unmarked copy is on its way

Cause: a longer search found an unmarked key that was refused as not run by the second node, while the first copy, left behind on a silent path, was still on its way and ran later. Ruled out: a fence for unmarked copies; they cannot be told from resends. Change: a refusal settles a key only if no copy was left behind, or if the copies carry attempt numbers, by which a late one is fenced. Measured: the found case stands as a test and fails without the change. Conclusion: callers that count their attempts get the sharper answer.

--- a/crates/kernel/src/requests/handing/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -53,6 +53,8 @@
     pub(super) tried: Vec<UpstreamName>,
     /// Whether the call may already have run, or its key in an earlier send.
     pub(super) doubt: Option<Unknown>,
+    /// Whether a copy may still be on its way to a node that was left.
+    pub(super) has_stray: bool,
     /// The hand-over under way.
     pub(super) current: Option<Leg>,
 }
@@ -102,6 +104,7 @@
             casualties: Vec::new(),
             attempts: 0,
             tried: Vec::new(),
+            has_stray: false,
             current: None,
         })
     }
@@ -124,8 +127,10 @@
         matches!(self.delivery, Delivery::Repeatable)
     }
 
-    /// Marks the next hand-over of the key as a resend.
+    /// Marks the next hand-over of the key as a resend, after one that may
+    /// still arrive.
     pub(super) fn mark_resend(&mut self) {
+        self.has_stray = true;
         if let Delivery::Keyed {
             attempt: Some(attempt),
             ..
@@ -135,6 +140,17 @@
         }
     }
 
+    /// Tells whether a true refusal of the latest hand-over holds for the key.
+    ///
+    /// A copy that is still on its way is fenced only if it carries a lower
+    /// attempt number; without one it is judged when it arrives, and may run.
+    pub(super) const fn settles(&self) -> bool {
+        match &self.delivery {
+            Delivery::Keyed { attempt, .. } => attempt.is_some() || !self.has_stray,
+            Delivery::Repeatable | Delivery::Once => false,
+        }
+    }
+
     /// Makes the hand-over to an upstream.
     pub(super) fn handover(&self, cx: &Context<'_>, upstream: &Upstream) -> Handover {
         Handover {
--- a/crates/kernel/src/requests/handing/retry.rs
+++ b/crates/kernel/src/requests/handing/retry.rs
@@ -25,7 +25,7 @@
         refusal: (NotRun, Duration),
     ) {
         let (reason, retry_after) = refusal;
-        if call.key().is_some() && speaks_of_key(reason) {
+        if call.settles() && speaks_of_key(reason) {
             call.doubt = None;
         }
         let answer = refusal_answer(&call, reason, retry_after);
--- a/crates/kernel/tests/keyed.rs
+++ b/crates/kernel/tests/keyed.rs
@@ -11,7 +11,9 @@
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::Unknown;
+use celeryshore_model::Header;
 use celeryshore_model::HttpRequest;
+use celeryshore_model::HttpResponse;
 use celeryshore_model::Slots;
 use celeryshore_model::Snapshot;
 
@@ -230,3 +232,30 @@
     mesh.answer("");
     assert!(matches!(mesh.answers[&under_way], Answer::Whole(_)));
 }
+
+#[test]
+fn stray_copy() {
+    let mut snapshot = Snapshot::clone(&snapshot());
+    tune(&mut snapshot, |s| s.retry.attempts = 2);
+    let mut mesh = Mesh::new(&Arc::new(snapshot));
+    let [home, second, .., last] = &key_order(KEY, 4)[..] else {
+        panic!("four nodes");
+    };
+    mesh.held.insert(name(home));
+    let call = mesh.call(last, keyed(KEY));
+    let stray = std::mem::take(&mut mesh.kept);
+    mesh.held.clear();
+    mesh.advance(DEADLINE / 2);
+    assert_eq!(mesh.runs[0].vm, name(second), "the path had gone silent");
+    let refusal = HttpResponse {
+        headers: vec![Header::new("x-not-run", "1")],
+        ..response(503, "")
+    };
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Answered(refusal));
+    for (vm, event) in stray {
+        mesh.send(vm.as_str(), event);
+    }
+    assert_eq!(mesh.history.len(), 2, "an unmarked copy is judged");
+    assert_eq!(unknown(&mesh, call), Unknown::PeerLost);
+}
