Believe a target that says it is cold, for a while

Cause: a target that is cold for 5 s and bears one request was given two, since the limit rose after one good answer and 250 ms, whatever the target claimed. Ruled out: claims that raise the limit, and claims that hold it for good; a misleading one is believed for 30 s after each fall. Change: the first step out of a cold start takes four rounds of answers and 1 s, and waits while the target claims to be cold; a target that warms up goes back on such a claim, a warm one with fresh answers does not.

--- a/crates/kernel/src/requests/admitting/limit.rs
+++ b/crates/kernel/src/requests/admitting/limit.rs
@@ -11,6 +11,12 @@
 
 /// Shortest time between two steps up.
 const MIN_STEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time in cold start before the first step up.
+const COLD_INTERVAL: Duration = Duration::from_secs(1);
+/// Rounds of answers in cold start before the first step up.
+const COLD_ROUNDS: u32 = 4;
+/// Time for which a target that says it is cold is believed.
+const CLAIM_TRUST: Duration = Duration::from_secs(30);
 /// Longest time between two steps up.
 const MAX_STEP_INTERVAL: Duration = Duration::from_secs(4);
 /// Quiet time after which steps up are quick again.
@@ -57,6 +63,8 @@
     changed_at: Time,
     evidence_at: Option<Time>,
     down_until: Option<Time>,
+    cold_since: Time,
+    claimed: Option<Phase>,
     latency: Latency,
 }
 
@@ -72,6 +80,8 @@
             changed_at: Time::ZERO,
             evidence_at: None,
             down_until: None,
+            cold_since: Time::ZERO,
+            claimed: None,
             latency: Latency::new(),
         }
     }
@@ -113,6 +123,7 @@
         let before = self.current;
         if self.evidence_at.replace(now).is_none() {
             self.changed_at = now;
+            self.cold_since = now;
         }
         let was_down = self.down_until.take().is_some();
         match evidence {
@@ -131,15 +142,23 @@
         self.current < before || (self.down_until.is_some() && !was_down)
     }
 
-    /// Takes the target's own claim, which may only lower the limit, and only
-    /// where no fresh evidence speaks against it; tells whether it fell.
+    /// Takes the target's own claim, which may only lower the limit or keep it
+    /// from rising; tells whether it fell.
+    ///
+    /// A warm target with fresh answers is not lowered, since claims lag.
     pub(super) fn claim(&mut self, now: Time, phase: Phase) -> bool {
+        self.claimed = Some(phase);
+        let before = self.current;
         let is_known = self.evidence_at.is_some_and(|at| now - at < EVIDENCE_FRESH);
-        if is_known || !matches!(phase, Phase::Cold | Phase::Down) {
-            return false;
+        let is_warm = self.current >= self.ceiling();
+        let falls = match phase {
+            Phase::Cold => !is_known || (!is_warm && self.is_claim_trusted(now)),
+            Phase::Down => !is_known,
+            Phase::Warming | Phase::Warm | Phase::Draining => false,
+        };
+        if falls && self.current > self.floor() {
+            self.fall(now, self.floor());
         }
-        let before = self.current;
-        self.fall(now, self.floor());
         self.current < before
     }
 
@@ -160,12 +179,27 @@
         if now - self.changed_at > CALM {
             self.step_interval = MIN_STEP_INTERVAL;
         }
-        let is_due = now - self.changed_at >= self.step_interval;
-        if self.good >= self.current && is_due {
+        if self.is_due(now) {
             self.rise(now);
         }
     }
 
+    /// Tells whether there is evidence enough for a step up.
+    fn is_due(&self, now: Time) -> bool {
+        let waited = now - self.changed_at;
+        if self.current > self.floor() {
+            return self.good >= self.current && waited >= self.step_interval;
+        }
+        let says_cold = self.claimed == Some(Phase::Cold) && self.is_claim_trusted(now);
+        self.good >= self.current * COLD_ROUNDS
+            && waited >= self.step_interval.max(COLD_INTERVAL)
+            && !says_cold
+    }
+
+    fn is_claim_trusted(&self, now: Time) -> bool {
+        now - self.cold_since < CLAIM_TRUST
+    }
+
     fn overloaded(&mut self, now: Time) {
         let is_repeated = self.since_overload < WINDOW;
         self.since_overload = 0;
@@ -189,6 +223,9 @@
         self.current = to.min(self.current);
         self.good = 0;
         self.changed_at = now;
+        if self.current == self.floor() {
+            self.cold_since = now;
+        }
     }
 
     fn floor(&self) -> u32 {
--- a/crates/kernel/tests/cold_start.rs
+++ b/crates/kernel/tests/cold_start.rs
@@ -148,3 +148,27 @@
     mesh.send("vm-1", RequestEvent::Probed { claimed });
     assert_eq!(fill(&mut mesh).len(), COLD_SLOTS, "lowered when idle");
 }
+
+#[test]
+fn honest_claim() {
+    let mut mesh = mesh();
+    let claimed = Phase::Cold;
+    for _ in 0..10 {
+        mesh.send("vm-1", RequestEvent::Probed { claimed });
+        assert_eq!(load(&mut mesh, 25, SERVICE_TIME), COLD_SLOTS);
+    }
+    let claimed = Phase::Warm;
+    mesh.send("vm-1", RequestEvent::Probed { claimed });
+    assert_eq!(load(&mut mesh, 200, SERVICE_TIME), SLOTS);
+}
+
+#[test]
+fn misleading_claim() {
+    let mut mesh = mesh();
+    let claimed = Phase::Cold;
+    for _ in 0..100 {
+        mesh.send("vm-1", RequestEvent::Probed { claimed });
+        load(&mut mesh, 25, SERVICE_TIME);
+    }
+    assert_eq!(load(&mut mesh, 1, SERVICE_TIME), SLOTS, "not for ever");
+}
