Let a request that came to the wrong place go on freely

Cause: while a zone was taken out, both attempts of a node with the older version went to nodes that were out or behind, and the call was refused. Ruled out: more attempts for all retries; only refusals that have nothing to do with load are free, and the number of upstreams bounds them. Change: leaving, out of service, not here, behind and learning cost neither an attempt nor the budget.

--- a/crates/kernel/src/requests/handing/retry.rs
+++ b/crates/kernel/src/requests/handing/retry.rs
@@ -29,7 +29,10 @@
             call.doubt = None;
         }
         let answer = refusal_answer(&call, reason, retry_after);
-        if is_final(reason) || !self.may_retry(cx, &call) {
+        if is_placement(reason) {
+            call.attempts -= 1;
+            self.hand_over(cx, id, call, answer);
+        } else if is_final(reason) || !self.may_retry(cx, &call) {
             self.answer(cx, id, answer);
         } else {
             self.hand_over(cx, id, call, answer);
@@ -144,6 +147,21 @@
     )
 }
 
+/// Tells whether a refusal means that the request came to the wrong place.
+///
+/// It cost the target nothing, so the next upstream is free of the budget; the
+/// number of upstreams is the bound.
+const fn is_placement(reason: NotRun) -> bool {
+    matches!(
+        reason,
+        NotRun::Leaving
+            | NotRun::OutOfService
+            | NotRun::NotHere
+            | NotRun::Behind
+            | NotRun::Learning
+    )
+}
+
 /// Tells whether other upstreams would refuse the request as well.
 const fn is_final(reason: NotRun) -> bool {
     matches!(
--- a/crates/kernel/tests/retries.rs
+++ b/crates/kernel/tests/retries.rs
@@ -6,6 +6,7 @@
 
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
+use celeryshore_kernel::MemberState;
 use celeryshore_kernel::NotRun;
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
@@ -165,3 +166,23 @@
     let next = without_zone(&snapshot, "glasgow");
     mesh.send_all(&RequestEvent::Configured(next));
 }
+
+#[test]
+fn older_view() {
+    let snapshot = ordering(&["glasgow", "perth", "perth", "perth", "glasgow"]);
+    let mut mesh = Mesh::new(&Arc::new(snapshot.clone()));
+    let next = without_zone(&snapshot, "perth");
+    for vm in ["vm-2", "vm-3", "vm-4", "vm-5"] {
+        mesh.send(vm, RequestEvent::Configured(next.clone()));
+    }
+    mesh.observe("vm-5", MemberState::Suspect);
+    mesh.call("vm-1", order());
+    assert_eq!(mesh.handovers, 0);
+    mesh.send("vm-1", RequestEvent::Drain);
+    let call = mesh.call("vm-1", with(stock(), "celeryshore-depth", "1"));
+    assert_eq!(mesh.handovers, 4, "three of them out of service");
+    while !mesh.runs.is_empty() {
+        mesh.answer("40");
+    }
+    assert!(matches!(mesh.answers[&call], Answer::Whole(_)));
+}
