--- a/crates/trials/src/scenario/act.rs
+++ b/crates/trials/src/scenario/act.rs
@@ -118,7 +118,7 @@
                 let Some(to) = self.addresses.get(&peer).copied() else {
                     return;
                 };
-                self.note_route(&request);
+                self.note_route(&request, to);
                 let received = |id: LinkId| {
                     let inbound = InboundId(id.0);
                     RequestEvent::Received { inbound, request }.into()
@@ -151,11 +151,11 @@
         }
     }
 
-    fn note_route(&mut self, request: &PeerRequest) {
+    fn note_route(&mut self, request: &PeerRequest, to: usize) {
         if let PeerRequest::Handover(handover) = request
             && let Some(call) = caller::call_of(&handover.request)
         {
-            self.record.routed(call, handover.version);
+            self.record.routed(call, to, handover.version);
         }
     }
 
