--- a/crates/trials/examples/measure/service.rs
+++ b/crates/trials/examples/measure/service.rs
@@ -126,7 +126,7 @@
     let crashes: u64 = counts.iter().map(|c: &Counts| c.crashes).sum();
     println!(
         "\npoison: {} sends, {} ({:?}), {crashes} crashed targets",
-        record.sends, record.end, record.reason
+        record.sends, record.end, record.reasons
     );
     Ok(())
 }
--- a/crates/trials/src/report.rs
+++ b/crates/trials/src/report.rs
@@ -131,17 +131,17 @@
     }
 }
 
-/// Reasons of refusals, with how often each was the last one.
+/// Reasons why requests were not answered, one after the other for each send.
 #[must_use]
 pub fn reasons(records: &[Record]) -> String {
     let mut counts = BTreeMap::new();
     for record in records.iter().filter(|r| r.end != End::Answered) {
-        let reason = record.reason.as_deref().unwrap_or("none");
-        *counts.entry((record.end, reason)).or_insert(0) += 1;
+        let reasons = record.reasons.join(" > ");
+        *counts.entry((record.end, reasons)).or_insert(0) += 1;
     }
     let reasons = counts
         .iter()
-        .map(|((end, reason), n)| format!("{n} {end}: {reason}"));
+        .map(|((end, reasons), n)| format!("{n} {end}: {reasons}"));
     reasons.collect::<Vec<_>>().join(", ")
 }
 
