--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -48,6 +48,32 @@
 }
 
 /// A node that runs on an executor until it is dropped.
+///
+/// # Example
+///
+/// ```
+/// use async_executor::StaticExecutor;
+/// use celeryshore_node::LogLevel;
+/// use celeryshore_node::Node;
+/// use celeryshore_node::Settings;
+///
+/// static EXECUTOR: StaticExecutor = StaticExecutor::new();
+///
+/// let settings: Settings = "
+/// {vm: glasgow-1, zone: glasgow, callers: 127.0.0.1:0, peer: 127.0.0.1:0,
+///  control: 127.0.0.1:0, operators: 127.0.0.1:0, target: 127.0.0.1:9000,
+///  platform: {addresses: ['127.0.0.1:8500'], key: celeryshore/rules}}
+/// "
+/// .parse()?;
+/// let (log, _guard) = celeryshore_node::logger(LogLevel::Error);
+/// async_io::block_on(EXECUTOR.run(async {
+///     let node = Node::start(&EXECUTOR, settings, log)?;
+///     assert_ne!(node.addresses().callers.port(), 0);
+///     node.drain().await;
+///     Ok::<(), celeryshore_node::Error>(())
+/// }))?;
+/// # Ok::<(), celeryshore_node::Error>(())
+/// ```
 pub struct Node {
     addresses: Addresses,
     callers: Arc<Callers>,
