Introduce a node once all witnesses have shown its list

Cause: for 30 s after a start every first send was judged, and a judgement ends as unknown while one witness is down; a demonstration that killed nodes of a young fleet left 123 and 311 of 1,125 requests unknown. Ruled out: a shorter time, which weakens the guard in cuts; taking the mark of a passed key away, which would run unmarked resends twice. Change: a judgement in which every witness voted under this version or a newer one makes the node known; its first sends then run at once.

--- a/crates/kernel/src/requests/admitting/judgement.rs
+++ b/crates/kernel/src/requests/admitting/judgement.rs
@@ -40,6 +40,8 @@
     /// Whether it is a first send, which is only judged because other nodes may
     /// not know this one yet.
     is_first: bool,
+    /// Whether every witness so far has shown a version that lists this node.
+    introduces: bool,
     /// Witnesses that have not voted.
     pending: BTreeMap<ExchangeId, VmName>,
     doubt: Option<Unknown>,
@@ -57,6 +59,12 @@
         }
     }
 
+    /// Notes a witness that cannot be asked.
+    const fn miss(&mut self) {
+        self.introduces = false;
+        self.doubt = Some(Unknown::WitnessUnreachable);
+    }
+
     /// Returns what is in doubt after all votes.
     ///
     /// A newer configuration may have upstreams that were not asked.
@@ -90,6 +98,7 @@
             pending: BTreeMap::new(),
             version: cx.view.version(),
             is_first,
+            introduces: true,
             doubt: first_doubt(is_incomplete, is_known || is_first),
         };
         for witness in cx.view.witnesses(cx.now.mono) {
@@ -113,6 +122,7 @@
             return;
         };
         let witness = judgement.pending.remove(&exchange);
+        judgement.introduces &= vote.version >= judgement.version;
         if vote.version > cx.view.version() {
             catch_up(cx, &vote, witness);
         }
@@ -134,7 +144,7 @@
         };
         if let Some(judgement) = self.judgements.get_mut(&id) {
             judgement.pending.remove(&exchange);
-            judgement.doubt = Some(Unknown::WitnessUnreachable);
+            judgement.miss();
         }
         self.conclude_if_complete(cx, id);
     }
@@ -184,7 +194,7 @@
         witness: &Upstream,
     ) {
         if cx.view.member(&witness.vm) == MemberState::Dead {
-            judgement.doubt = Some(Unknown::WitnessUnreachable);
+            judgement.miss();
             return;
         }
         let inquiry = inquiry(cx, judgement);
@@ -204,6 +214,9 @@
         let Some(judgement) = judgement.filter(|j| j.pending.is_empty()) else {
             return;
         };
+        if judgement.introduces && judgement.version == cx.view.version() {
+            cx.view.introduce();
+        }
         if let Some(doubt) = judgement.doubt(cx) {
             let outcome = judgement.refusal(doubt);
             self.conclude(cx, id, outcome);
--- a/crates/kernel/src/requests/peers.rs
+++ b/crates/kernel/src/requests/peers.rs
@@ -1,5 +1,6 @@
 //! Upstreams of a node's own service, now and a short while ago.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use celeryshore_model::Now;
@@ -25,6 +26,7 @@
     known_since: Option<WallTime>,
     changed_at: WallTime,
     joined_at: Option<Time>,
+    is_introduced: Cell<bool>,
 }
 
 impl Peers {
@@ -36,6 +38,7 @@
             known_since: None,
             changed_at: WallTime::from_millis(0),
             joined_at: None,
+            is_introduced: Cell::new(false),
         }
     }
 
@@ -54,6 +57,7 @@
     pub(super) fn publish(&mut self, now: Now, published: Vec<Upstream>) {
         if published.is_empty() {
             self.joined_at = None;
+            self.is_introduced.set(false);
         } else {
             self.joined_at.get_or_insert(now.mono);
         }
@@ -63,9 +67,15 @@
         }
     }
 
+    /// Notes that every other published upstream has shown a version in which
+    /// this one is on the list. They never go back to one in which it is not.
+    pub(super) fn introduce(&self) {
+        self.is_introduced.set(true);
+    }
+
     /// Tells whether all nodes know by now that this one is on the list.
     pub(super) fn is_settled(&self, now: Time) -> bool {
-        self.joined_at.is_some_and(|at| now - at >= SETTLING)
+        self.is_introduced.get() || self.joined_at.is_some_and(|at| now - at >= SETTLING)
     }
 
     /// Tells whether all upstreams that may have run a key are known: those that
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -208,6 +208,11 @@
         self.witnesses(now).iter().any(|u| u.vm == *vm)
     }
 
+    /// Notes that every other published upstream knows that this one is on the list.
+    pub(super) fn introduce(&self) {
+        self.peers.introduce();
+    }
+
     /// Tells whether all nodes know by now that this one is on the list.
     pub(super) fn is_settled(&self, now: Time) -> bool {
         self.peers.is_settled(now)
--- a/crates/kernel/tests/list_changes.rs
+++ b/crates/kernel/tests/list_changes.rs
@@ -147,3 +147,27 @@
         "the third list lacks the one that ran it"
     );
 }
+
+#[test]
+fn introduced_upstream() {
+    let all = Arc::new(ordering(&ZONES));
+    let mut mesh = Mesh::new(&all);
+    let [home, .., last] = &key_order(KEY, 3)[..] else {
+        panic!("three nodes");
+    };
+    mesh.kill(home);
+    mesh.start(&name(home), &all);
+    mesh.advance(5_000);
+    mesh.call(home, resent(KEY, 1));
+    mesh.answer("ordered");
+    let asked = mesh.inquiries;
+    assert_eq!(asked, 2, "the first one makes the node known");
+    mesh.kill(last);
+    let key = (0..100)
+        .map(|n| format!("order-{n}"))
+        .find(|key| key_order(key, 3)[0] == *home)
+        .expect("a key of the same home");
+    mesh.call(home, resent(&key, 1));
+    assert_eq!(mesh.history.len(), 2);
+    assert_eq!(mesh.inquiries, asked);
+}
