--- a/crates/node/tests/hand_over.rs
+++ b/crates/node/tests/hand_over.rs
@@ -199,3 +199,22 @@
     assert_eq!(response.status(), 502);
     assert_eq!(response.outcome(), Some("unknown"));
 }
+
+#[test]
+fn whole_path() {
+    let vms = [Vm::next(), Vm::next()];
+    // Only the second VM has an upstream.
+    let rules = support::rules(&[vms[1]]).replace("vm=vm-1", "vm=vm-2");
+    support::start_platform(vms[0], rules);
+    Fake::target(vms[1], |_| reply_ok("whole"));
+    // A node without seeds learns from the platform alone, and at once.
+    let _admitting =
+        support::start(&support::settings(vms[1], vms[0], "").replace("vm: vm-1", "vm: vm-2"));
+    let (peer, control) = (vms[1].peer(), vms[1].control());
+    let seeds = format!("seeds: [{{peer: '{peer}', control: '{control}'}}]\n");
+    let _handing = support::start(&support::settings(vms[0], vms[0], &seeds));
+    support::wait_for(|| stock(vms[0]).outcome() == Some("answered"));
+    assert_eq!(stock(vms[0]).body, "whole");
+    let placed = call(vms[0].callers(), "POST", "/orders", "");
+    assert_eq!(placed.body, "whole");
+}
