--- /dev/null
+++ b/crates/trials/tests/processes.rs
@@ -0,0 +1,106 @@
+//! A few real processes: requests, a change of version and a kill.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use celeryshore_standins::executor;
+use celeryshore_trials::caller::Caller;
+use celeryshore_trials::caller::End;
+use celeryshore_trials::deployment::ASSOCIATION;
+use celeryshore_trials::deployment::DEADLINE;
+use celeryshore_trials::deployment::Deployment;
+use celeryshore_trials::deployment::ServiceShape;
+use celeryshore_trials::error::Result;
+use celeryshore_trials::fleet::CLOCK_ALLOWANCE;
+use celeryshore_trials::fleet::Changes;
+use celeryshore_trials::fleet::Fleet;
+use celeryshore_trials::fleet::Targets;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const SENDS: u32 = 3;
+const DEPLOYMENT: Deployment = Deployment {
+    services: &[
+        ServiceShape {
+            upstreams: 3,
+            ..ASSOCIATION.services[0]
+        },
+        ServiceShape {
+            upstreams: 1,
+            ..ASSOCIATION.services[1]
+        },
+    ],
+    ..ASSOCIATION
+};
+
+fn run(number: u16, check: impl AsyncFnOnce(Fleet) -> Result<()>) {
+    let all = async {
+        let fleet = Fleet::start(DEPLOYMENT, number, Targets::default()).await?;
+        check(fleet).await
+    };
+    executor::run(1, all).expect("the processes do as they should");
+}
+
+async fn call_each_kind(fleet: &Fleet) {
+    let caller = Caller::default();
+    for kind in DEPLOYMENT.kinds() {
+        let record = caller.call(kind, &fleet.callers(), SENDS, DEADLINE).await;
+        assert_eq!(
+            record.end,
+            End::Answered,
+            "{} {:?}",
+            kind.name,
+            record.reasons
+        );
+    }
+}
+
+#[test]
+fn each_kind() {
+    run(0, async |fleet| {
+        call_each_kind(&fleet).await;
+        let counts = fleet.counts().await?;
+        let runs: u64 = counts.iter().map(|c| c.started).sum();
+        assert_eq!(runs, 5);
+        Ok(())
+    });
+}
+
+#[test]
+fn version_change() {
+    run(1, async |mut fleet| {
+        let index = fleet.publish(Changes::default()).await?;
+        fleet.converged(index, TIMEOUT).await?;
+        call_each_kind(&fleet).await;
+        Ok(())
+    });
+}
+
+// A node that has been listed for less than 30 s asks all others before it runs
+// an at-most-once request, and can't ask the one that was killed.
+async fn call_beside_dead_node(fleet: &Fleet) -> Result<()> {
+    let caller = Caller::default();
+    for kind in DEPLOYMENT.kinds() {
+        let record = caller.call(kind, &fleet.callers(), SENDS, DEADLINE).await;
+        let counts = fleet.counts().await?;
+        let runs = counts.iter().filter_map(|c| c.runs.get(&record.key));
+        match record.end {
+            End::Answered => (),
+            End::Unknown if !kind.idempotent => assert!(runs.sum::<u32>() <= 1),
+            end => panic!("{}: {end}, {:?}", kind.name, record.reasons),
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn killed_node() {
+    run(2, async |mut fleet| {
+        fleet.kill_node(0);
+        call_beside_dead_node(&fleet).await?;
+        fleet.start_node(0)?;
+        fleet.ready(TIMEOUT).await?;
+        Timer::after(CLOCK_ALLOWANCE).await;
+        call_each_kind(&fleet).await;
+        Ok(())
+    });
+}
