Test that nodes learn the configuration from each other

Cause: the scenarios use fakes for the network; the real sockets were untested. Change: three nodes in one process, two of which cannot reach the platform. Conclusion: datagrams, pulls and watches work over loopback.

--- /dev/null
+++ b/crates/node/tests/control.rs
@@ -0,0 +1,95 @@
+//! Several nodes learn the configuration from each other.
+
+use std::io::Read;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::support::Fake;
+use crate::support::Vm;
+use crate::support::call;
+use crate::support::read_message;
+use crate::support::rules;
+use crate::support::settings;
+use crate::support::start;
+use crate::support::wait_for;
+
+/// Time between two looks of the platform at its value.
+const LOOK: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Default)]
+struct Published(Arc<Mutex<(u64, String)>>);
+
+impl Published {
+    fn publish(&self, text: &str) {
+        let mut value = self.0.lock().unwrap();
+        *value = (value.0 + 1, text.to_owned());
+    }
+
+    fn get(&self) -> (u64, String) {
+        self.0.lock().unwrap().clone()
+    }
+}
+
+/// Starts a platform whose watches wait for the next text.
+fn start_platform(vm: Vm, published: Published) -> Fake {
+    Fake::start(vm.platform(), move |mut stream| {
+        while let Some((head, _)) = read_message(&mut stream) {
+            let known = head
+                .split("index=")
+                .nth(1)
+                .and_then(|s| s.split('&').next());
+            let known = known.and_then(|s| s.parse().ok());
+            while known == Some(published.get().0) {
+                let _ = stream.set_read_timeout(Some(LOOK));
+                if matches!(stream.read(&mut [0]), Ok(0)) {
+                    return;
+                }
+                thread::sleep(LOOK);
+            }
+            let _ = stream.set_read_timeout(None);
+            let (index, text) = published.get();
+            let length = text.len();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-consul-index: {index}\r\ncontent-length: {length}\r\n\r\n{text}"
+            );
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    })
+}
+
+fn named(i: usize, vm: Vm, platform: Vm, seed: Option<Vm>) -> String {
+    let seeds = seed.map_or(String::new(), |seed| {
+        let (peer, control) = (seed.peer(), seed.control());
+        format!("seeds:\n- peer: {peer}\n  control: {control}\n")
+    });
+    settings(vm, platform, &seeds).replacen("vm-1", &format!("vm-{i}"), 1)
+}
+
+fn holds(vm: Vm, index: u64) -> bool {
+    let dump = call(vm.operators(), "GET", "/dump", "").body;
+    let dump: Value = serde_json::from_str(&dump).unwrap();
+    dump["configuration"]["version"]["index"] == index
+}
+
+#[test]
+fn learned_from_peer() {
+    let (platform, nowhere) = (Vm::next(), Vm::next());
+    let vms = [Vm::next(), Vm::next(), Vm::next()];
+    let published = Published::default();
+    published.publish(&rules(&vms));
+    let _platform = start_platform(platform, published.clone());
+    let first = start(&named(1, vms[0], platform, None));
+    let others = [
+        start(&named(2, vms[1], nowhere, Some(vms[0]))),
+        start(&named(3, vms[2], nowhere, Some(vms[0]))),
+    ];
+    assert!(vms.iter().all(|vm| holds(*vm, 1)));
+    published.publish(&(rules(&vms) + "out zone=glasgow  # test\n"));
+    wait_for(|| vms.iter().all(|vm| holds(*vm, 2)));
+    drop((first, others));
+}
