--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod settings;
 mod target;
+mod timers;
 
 pub use crate::error::Category;
 pub use crate::error::Error;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -34,6 +34,7 @@
 use crate::peers;
 use crate::settings::PortName;
 use crate::target::Target;
+use crate::timers::Timers;
 
 /// Where a node listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,23 +62,15 @@
     ///
     /// Fails if a port cannot be opened.
     pub fn start(ex: &'static StaticExecutor, settings: Settings, log: Logger) -> Result<Self> {
-        let callers_port = open(PortName::Callers, settings.callers)?;
-        let peer_port = open(PortName::Peer, settings.peer)?;
-        let control_ports = ControlPorts {
-            heartbeats: open_udp(peer_port.get_ref().local_addr()?)?,
-            pulls: open(PortName::Control, settings.control)?,
-        };
-        let operators_port = open(PortName::Operators, settings.operators)?;
-        let addresses = Addresses {
-            callers: callers_port.get_ref().local_addr()?,
-            peer: peer_port.get_ref().local_addr()?,
-            operators: operators_port.get_ref().local_addr()?,
-        };
+        let ports = Ports::open(&settings)?;
+        let addresses = ports.addresses()?;
+        let timers = Arc::new(Timers::default());
         let driver = Arc::new(Driver::new(DriverParts {
             ex,
             log,
             cfg: kernel_config(&settings),
-            target: Target::new(settings.target),
+            target: Target::new(settings.target, timers.clone()),
+            timers: timers.clone(),
         }));
         let callers = Arc::new(Callers {
             driver: driver.clone(),
@@ -89,11 +82,12 @@
             callers: callers.clone(),
             metrics: metrics.clone(),
         });
-        let accepting = vec![ex.spawn(callers::listen(callers.clone(), callers_port))];
+        let accepting = vec![ex.spawn(callers::listen(callers.clone(), ports.callers))];
         let mut tasks = vec![
-            ex.spawn(peers::listen(driver.clone(), peer_port)),
+            ex.spawn(async move { timers.run().await }),
+            ex.spawn(peers::listen(driver.clone(), ports.peer)),
             ex.spawn(peers::probe_idle(ex, driver.peers.clone())),
-            ex.spawn(operators::listen(operators, operators_port)),
+            ex.spawn(operators::listen(operators, ports.operators)),
             ex.spawn(metrics.upkeep()),
             ex.spawn(driver.clone().tick_requests()),
             ex.spawn(driver.clone().tick_fleet()),
@@ -101,7 +95,7 @@
         tasks.extend(control::start(
             ex,
             &driver,
-            control_ports,
+            ports.control,
             settings.platform,
         ));
         Ok(Self {
@@ -136,6 +130,40 @@
     }
 }
 
+/// Open ports of a node.
+struct Ports {
+    callers: Async<TcpListener>,
+    peer: Async<TcpListener>,
+    operators: Async<TcpListener>,
+    control: ControlPorts,
+}
+
+impl Ports {
+    fn open(settings: &Settings) -> Result<Self> {
+        let callers = open(PortName::Callers, settings.callers)?;
+        let peer = open(PortName::Peer, settings.peer)?;
+        let control = ControlPorts {
+            heartbeats: open_udp(peer.get_ref().local_addr()?)?,
+            pulls: open(PortName::Control, settings.control)?,
+        };
+        let operators = open(PortName::Operators, settings.operators)?;
+        Ok(Self {
+            callers,
+            peer,
+            operators,
+            control,
+        })
+    }
+
+    fn addresses(&self) -> Result<Addresses> {
+        Ok(Addresses {
+            callers: self.callers.get_ref().local_addr()?,
+            peer: self.peer.get_ref().local_addr()?,
+            operators: self.operators.get_ref().local_addr()?,
+        })
+    }
+}
+
 fn open(port: PortName, addr: SocketAddr) -> Result<Async<TcpListener>> {
     Async::<TcpListener>::bind(addr).map_err(|err| Error::bind(port, addr, err))
 }
