Ignore a seed that is the node itself

Cause: nodes may share one list of seeds, and a node waited for its own answer. Ruled out: asking operators for a list for each node. Change: the own address is dropped from the seeds; a list that holds nothing else counts as none. The documentation says why an isolated node stays in learning. Conclusion: one settings template serves a whole zone.

--- a/crates/kernel/src/fleet/mod.rs
+++ b/crates/kernel/src/fleet/mod.rs
@@ -112,7 +112,9 @@
 impl Fleet {
     /// Makes the decisions of a process that starts now and knows nothing.
     #[must_use]
-    pub fn new(cfg: FleetConfig, now: Now) -> Self {
+    pub fn new(mut cfg: FleetConfig, now: Now) -> Self {
+        let own = cfg.peer;
+        cfg.seeds.retain(|seed| *seed != own);
         let mut rng = fastrand::Rng::with_seed(cfg.seed);
         let first_round = now.mono + prober::PERIOD.mul_f64(rng.f64() / 5.0);
         Self {
--- a/crates/kernel/src/fleet/stage.rs
+++ b/crates/kernel/src/fleet/stage.rs
@@ -1,6 +1,13 @@
 //! Life cycle of a node: learning, fresh, stale.
 //!
 //! Each stage is a type of its own; a transition consumes the old stage.
+//!
+//! A node that starts with empty memory and reaches no other node stays in
+//! learning, even if the platform answers it. The platform may be stale, and
+//! before its restart the node may have served under a newer version, so to serve
+//! under the platform's answer could be to go back. Other nodes serve its callers
+//! meanwhile. A node that was only frozen still holds its version, so it goes on
+//! under it when it reaches nobody: it can be behind but not go back.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/kernel/tests/fleet/support/node.rs
+++ b/crates/kernel/tests/fleet/support/node.rs
@@ -48,14 +48,13 @@
     pub fn new(i: usize, zone: ZoneName, life: u64, seeds: &[usize], now: Time) -> Self {
         let incarnation = Incarnation(life << 16 | 1);
         let seed = (i as u64) << 20 | life;
-        let seeds = seeds.iter().filter(|s| **s != i);
         let fleet = FleetConfig {
             vm: RulesText::vm(i),
             zone: zone.clone(),
             incarnation,
             peer: RulesText::peer(i),
             control: RulesText::control(i),
-            seeds: seeds.map(|s| RulesText::peer(*s)).collect(),
+            seeds: seeds.iter().map(|s| RulesText::peer(*s)).collect(),
             source: true,
             seed,
         };
