--- a/crates/kernel/tests/list_changes.rs
+++ b/crates/kernel/tests/list_changes.rs
@@ -93,6 +93,7 @@
         .find(|key| key_order(key, 3).ends_with(&["vm-1".to_owned()]))
         .expect("a key that comes last to vm-1");
     mesh.call("vm-2", keyed(&key));
+    mesh.advance(100);
     assert_eq!(mesh.runs[0].vm, name("vm-2"));
     mesh.held.insert(name("vm-1"));
     mesh.held.insert(name("vm-3"));
@@ -133,6 +134,7 @@
     third.version.index.0 += 2;
     mesh.send("vm-3", RequestEvent::Configured(Arc::new(second)));
     mesh.call("vm-3", resent(KEY, 1));
+    mesh.advance(100);
     assert_eq!(mesh.runs[0].vm, name("vm-3"));
     for vm in ["vm-1", "vm-2"] {
         mesh.send(vm, RequestEvent::Configured(Arc::new(third.clone())));
@@ -145,3 +147,27 @@
         "the third list lacks the one that ran it"
     );
 }
+
+#[test]
+fn introduced_upstream() {
+    let all = Arc::new(ordering(&ZONES));
+    let mut mesh = Mesh::new(&all);
+    let [home, .., last] = &key_order(KEY, 3)[..] else {
+        panic!("three nodes");
+    };
+    mesh.kill(home);
+    mesh.start(&name(home), &all);
+    mesh.advance(5_000);
+    mesh.call(home, resent(KEY, 1));
+    mesh.answer("ordered");
+    let asked = mesh.inquiries;
+    assert_eq!(asked, 2, "the first one makes the node known");
+    mesh.kill(last);
+    let key = (0..100)
+        .map(|n| format!("order-{n}"))
+        .find(|key| key_order(key, 3)[0] == *home)
+        .expect("a key of the same home");
+    mesh.call(home, resent(&key, 1));
+    assert_eq!(mesh.history.len(), 2);
+    assert_eq!(mesh.inquiries, asked);
+}
