--- a/crates/trials/src/fleet.rs
+++ b/crates/trials/src/fleet.rs
@@ -30,6 +30,7 @@
 use crate::rules;
 pub use crate::rules::Changes;
 use crate::settings;
+pub use crate::targets::Targets;
 use crate::vm;
 pub use crate::vm::Port;
 pub use crate::vm::Vm;
@@ -47,24 +48,6 @@
 const SETTLING: Duration = Duration::from_secs(31);
 const STAND_IN_VM: u16 = 240;
 
-/// What the targets of a fleet can bear.
-#[derive(Clone, Copy, Debug)]
-pub struct Targets {
-    /// Length of a cold start.
-    pub cold_time: Duration,
-    /// Mean time of a request.
-    pub service_time: Duration,
-}
-
-impl Default for Targets {
-    fn default() -> Self {
-        Self {
-            cold_time: Duration::from_secs(3),
-            service_time: Duration::from_millis(5),
-        }
-    }
-}
-
 /// The processes of one deployment.
 #[derive(Debug)]
 pub struct Fleet {
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -15,4 +15,5 @@
 mod rules;
 pub mod scenario;
 mod settings;
+mod targets;
 mod vm;
