Notice a target that answers only failures, and ask for its phase

Ruled out: each 500 as a sign of overload, since a few may be the requests' own fault; trusting claims to raise the limit.

--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -18,6 +18,7 @@
 use celeryshore_model::VmName;
 use derive_more::Display;
 use derive_more::From;
+use serde::Deserialize;
 use serde::Serialize;
 
 /// First message of an exchange.
@@ -280,7 +281,7 @@
 }
 
 /// Phase of a target, as the node that admits its work sees it.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
     /// Nothing is known, or the target is in cold start.
--- a/crates/kernel/src/requests/admitting/limit.rs
+++ b/crates/kernel/src/requests/admitting/limit.rs
@@ -23,6 +23,8 @@
 const CALM: Duration = Duration::from_secs(30);
 /// Answers among which two overloads mean a cold start.
 const WINDOW: u32 = 8;
+/// Failures in a row that mean a fallen target.
+const MAX_FAILURES: u32 = 3;
 /// Time between two requests that find out whether the target is back.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Age up to which own evidence counts more than the target's claims.
@@ -40,6 +42,8 @@
         /// Requests that ran beside it, itself counted.
         running: u32,
     },
+    /// It answered that it failed.
+    Failed,
     /// It refused for load, or made no progress.
     Overloaded,
     /// It broke the connection.
@@ -59,6 +63,7 @@
     current: u32,
     good: u32,
     since_overload: u32,
+    failures: u32,
     step_interval: Duration,
     changed_at: Time,
     evidence_at: Option<Time>,
@@ -76,6 +81,7 @@
             current: 0,
             good: 0,
             since_overload: WINDOW,
+            failures: 0,
             step_interval: MIN_STEP_INTERVAL,
             changed_at: Time::ZERO,
             evidence_at: None,
@@ -132,6 +138,7 @@
                 elapsed,
                 running,
             } => self.answered(now, kind, elapsed, running),
+            Evidence::Failed => self.failed(now),
             Evidence::Overloaded => self.overloaded(now),
             Evidence::Reset => self.fall(now, self.floor()),
             Evidence::Refused => {
@@ -169,6 +176,7 @@
 
     fn answered(&mut self, now: Time, kind: &KindId, elapsed: Duration, running: u32) {
         self.since_overload = self.since_overload.saturating_add(1);
+        self.failures = 0;
         if self.latency.is_jump(kind, elapsed) {
             self.fall(now, self.floor());
             return;
@@ -200,6 +208,15 @@
         now - self.cold_since < CLAIM_TRUST
     }
 
+    /// A few failures may be the requests' own fault; nothing but failures in a
+    /// row means that the target has fallen.
+    fn failed(&mut self, now: Time) {
+        self.failures += 1;
+        if self.failures >= MAX_FAILURES {
+            self.fall(now, self.floor());
+        }
+    }
+
     fn overloaded(&mut self, now: Time) {
         let is_repeated = self.since_overload < WINDOW;
         self.since_overload = 0;
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -242,6 +242,7 @@
         let now = cx.now.mono;
         let evidence = match outcome {
             Outcome::Answered(response) if headers::is_shed(response) => Evidence::Overloaded,
+            Outcome::Answered(response) if headers::is_failure(response) => Evidence::Failed,
             Outcome::Answered(_) => Evidence::Answered {
                 kind: &work.handover.kind,
                 elapsed: now - since,
--- a/crates/kernel/src/requests/headers.rs
+++ b/crates/kernel/src/requests/headers.rs
@@ -19,6 +19,8 @@
 const NOT_RUN: &[u8] = b"x-not-run";
 const RETRY_AFTER: &[u8] = b"retry-after";
 
+/// Lowest status by which a target says that it fails.
+const INTERNAL_SERVER_ERROR: u16 = 500;
 /// Status by which a target sheds load.
 const SERVICE_UNAVAILABLE: u16 = 503;
 /// Status by which a target limits a rate.
@@ -61,6 +63,11 @@
     [SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS].contains(&response.status)
 }
 
+/// Tells whether a target's answer means that it fails, whatever the request.
+pub(super) const fn is_failure(response: &HttpResponse) -> bool {
+    response.status >= INTERNAL_SERVER_ERROR
+}
+
 /// Tells whether a target's answer promises that the request did not run.
 pub(super) fn is_not_run(response: &HttpResponse) -> bool {
     is_shed(response) && response.header(NOT_RUN).is_some_and(|v| v == "1")
--- a/crates/kernel/tests/cold_start.rs
+++ b/crates/kernel/tests/cold_start.rs
@@ -172,3 +172,27 @@
     }
     assert_eq!(load(&mut mesh, 1, SERVICE_TIME), SLOTS, "not for ever");
 }
+
+#[test]
+fn fallen_target() {
+    let mut mesh = warm();
+    for run in mesh.runs.clone() {
+        mesh.finish(&run, Outcome::Answered(response(500, "")));
+    }
+    for _ in 0..20 {
+        assert!(fill(&mut mesh).len() <= COLD_SLOTS);
+        mesh.advance(SERVICE_TIME);
+        for run in mesh.runs.clone() {
+            mesh.finish(&run, Outcome::Answered(response(500, "")));
+        }
+    }
+}
+
+#[test]
+fn failing_request() {
+    let mut mesh = warm();
+    for run in mesh.runs.clone().iter().take(2) {
+        mesh.finish(run, Outcome::Answered(response(500, "")));
+    }
+    assert_eq!(fill(&mut mesh).len(), SLOTS);
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -33,6 +33,7 @@
 use crate::operators::Operators;
 use crate::peers;
 use crate::settings::PortName;
+use crate::target;
 use crate::target::Target;
 use crate::timers::Timers;
 
@@ -117,6 +118,7 @@
             ex.spawn(metrics.upkeep()),
             ex.spawn(driver.clone().tick_requests()),
             ex.spawn(driver.clone().tick_fleet()),
+            ex.spawn(target::watch(driver.clone(), settings.health)),
         ];
         tasks.extend(control::start(
             ex,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -20,6 +20,7 @@
 use crate::Error;
 use crate::Result;
 
+const DEFAULT_HEALTH: &str = "/health";
 const DEFAULT_OPERATORS_PORT: u16 = 9_090;
 
 /// Settings of one node.
@@ -63,6 +64,9 @@
     pub operators: SocketAddr,
     /// The VM's target (HTTP/1.1).
     pub target: SocketAddr,
+    /// Path at which the target tells its phase.
+    #[serde(default = "default_health")]
+    pub health: String,
     /// The platform's service.
     pub platform: PlatformSettings,
     /// Nodes to ask first, before a configuration lists the others.
@@ -147,6 +151,10 @@
     }
 }
 
+fn default_health() -> String {
+    DEFAULT_HEALTH.to_owned()
+}
+
 fn default_operators() -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), DEFAULT_OPERATORS_PORT)
 }
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that run at the VM's own target.
 
+mod health;
 mod pool;
 
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use celeryshore_model::HttpResponse;
 use serde_json::Value;
 
+pub(crate) use self::health::watch;
 use self::pool::Lease;
 use self::pool::TargetPool;
 use crate::Result;
--- a/crates/trials/tests/promises.rs
+++ b/crates/trials/tests/promises.rs
@@ -49,9 +49,9 @@
             continue;
         };
         let path = root().join(format!("crates/{package}/tests/{file}.rs"));
-        let text = fs::read_to_string(&path).unwrap_or_default();
+        let source = fs::read_to_string(&path).unwrap_or_default();
         let declaration = format!("#[test]\nfn {test}() ");
-        assert!(text.contains(&declaration), "no test {name}");
+        assert!(source.contains(&declaration), "no test {name}");
         count += 1;
     }
     assert!(count > 0);
