Read the target's phase, and learn nothing from quick failures

The question for the phase was never sent, for lack of a host; quick answers 500 set the usual time of a kind, so that good hand-overs counted as stalled and were left; and a target that failed at once looked idle and drew load. Ruled out: counting each failure as overload; it made in time no better. Capacity is computed from slopes by an example. Conclusion: a target that falls back under load still falls once.

--- a/crates/kernel/src/requests/handing/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -18,6 +18,7 @@
 use crate::Reply;
 use crate::ReplyOutcome;
 use crate::requests::context::Context;
+use crate::requests::headers;
 use crate::requests::rendezvous;
 
 /// Chooses upstreams by what this node sees of them.
@@ -99,6 +100,9 @@
         load.ended();
         load.report(now, reply.load);
         match &reply.outcome {
+            ReplyOutcome::Answered(response) if headers::is_failure(response) => {
+                load.penalize(now);
+            }
             ReplyOutcome::Answered(_) => load.succeed(),
             ReplyOutcome::NotRun { reason, .. } if is_lasting(*reason) => load.penalize(now),
             ReplyOutcome::NotRun { .. } | ReplyOutcome::Unknown(_) => {}
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -33,6 +33,7 @@
 use crate::requests::Progress;
 use crate::requests::RequestAction;
 use crate::requests::context::Context;
+use crate::requests::headers;
 use crate::requests::timers::Timers;
 
 /// When to come back after a refusal that no upstream gave a time for.
@@ -151,7 +152,9 @@
         match reply.outcome {
             ReplyOutcome::Answered(response) => {
                 cx.suspicions.clear(&call.fingerprint);
-                self.pace.observe(&call.kind, cx.now.mono - leg.since);
+                if !headers::is_failure(&response) {
+                    self.pace.observe(&call.kind, cx.now.mono - leg.since);
+                }
                 self.answer(cx, id, Answer::Whole(response));
             }
             ReplyOutcome::NotRun {
--- a/crates/kernel/tests/balancing.rs
+++ b/crates/kernel/tests/balancing.rs
@@ -15,6 +15,7 @@
 use crate::common::deployment::tune;
 use crate::common::deployment::without_zone;
 use crate::common::name;
+use crate::common::response;
 
 /// Warm targets with four slots each.
 fn mesh(zones: &[&str]) -> Mesh {
@@ -118,6 +119,26 @@
     assert!(wasted <= 1, "{wasted} tries on a broken path");
 }
 
+#[test]
+fn failing_target() {
+    let mut mesh = mesh(&["glasgow", "perth", "perth"]);
+    let mut snapshot = ordering(&["glasgow", "perth", "perth"]);
+    snapshot.version.index.0 += 1;
+    mesh.send_all(&RequestEvent::Configured(without_zone(
+        &snapshot, "glasgow",
+    )));
+    let mut failed = 0;
+    for _ in 0..20 {
+        mesh.call("vm-1", stock());
+        let run = mesh.runs[0].clone();
+        let fails = run.vm == name("vm-2");
+        failed += usize::from(fails);
+        let status = if fails { 500 } else { 200 };
+        mesh.finish(&run, Outcome::Answered(response(status, "")));
+    }
+    assert!(failed <= 2, "{failed} of 20 to a target that fails at once");
+}
+
 #[test]
 fn cold_share() {
     let mut snapshot = ordering(&["glasgow", "perth", "perth", "perth"]);
--- a/crates/kernel/tests/silence.rs
+++ b/crates/kernel/tests/silence.rs
@@ -7,6 +7,7 @@
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
 use celeryshore_kernel::MemberState;
+use celeryshore_kernel::Outcome;
 use celeryshore_kernel::Unknown;
 use celeryshore_model::Share;
 
@@ -140,3 +141,18 @@
     let moved = mesh.history.len();
     assert!((1..=10).contains(&moved), "{moved}");
 }
+
+#[test]
+fn quick_failures() {
+    let mut mesh = mesh();
+    for _ in 0..60 {
+        mesh.call("vm-1", stock());
+        let run = mesh.runs[0].clone();
+        mesh.finish(&run, Outcome::Answered(response(500, "")));
+    }
+    mesh.history.clear();
+    mesh.call("vm-1", stock());
+    mesh.advance(39);
+    mesh.advance(13);
+    assert_eq!(mesh.history.len(), 1, "failures do not set the usual time");
+}
--- a/crates/node/src/target/health.rs
+++ b/crates/node/src/target/health.rs
@@ -14,6 +14,8 @@
 
 use crate::driver::Driver;
 
+/// Host that the question names; targets do not tell hosts apart by it.
+const HOST: &str = "target";
 /// Time between two questions.
 const PERIOD: Duration = Duration::from_millis(500);
 /// Time that an answer may take.
@@ -29,6 +31,7 @@
     loop {
         let request = HttpRequest {
             method: "GET".into(),
+            host: HOST.into(),
             path: path.clone().into(),
             ..HttpRequest::default()
         };
--- a/crates/node/tests/hand_over.rs
+++ b/crates/node/tests/hand_over.rs
@@ -4,6 +4,7 @@
 use std::net::Shutdown;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -218,3 +219,17 @@
     let placed = call(vms[0].callers(), "POST", "/orders", "");
     assert_eq!(placed.body, "whole");
 }
+
+#[test]
+fn asked_phase() {
+    let vm = Vm::next();
+    support::start_platform(vm, support::rules(&[vm]));
+    let asked = Arc::new(AtomicBool::new(false));
+    let seen = asked.clone();
+    Fake::target(vm, move |head| {
+        seen.fetch_or(head.starts_with("GET /health "), Ordering::SeqCst);
+        reply_ok(r#"{"phase":"cold"}"#)
+    });
+    let _node = support::start(&support::settings(vm, vm, ""));
+    support::wait_for(|| asked.load(Ordering::SeqCst));
+}
--- /dev/null
+++ b/crates/trials/src/capacity.rs
@@ -0,0 +1,237 @@
+//! What the design costs at the size it is meant for, from measured slopes.
+//!
+//! The slopes stand in `docs/slopes.json`, each with the run that printed it;
+//! the table of `docs/CAPACITY.md` is computed from them, and a test compares
+//! the two, so that they cannot drift apart.
+
+use serde::Deserialize;
+use tabled::Table;
+use tabled::Tabled;
+use tabled::settings::Style;
+
+/// Upstreams, and so nodes, of the fleet.
+const NODES: f64 = 14_000.0;
+/// Availability zones.
+const ZONES: f64 = 16.0;
+/// Readers of the platform in each zone.
+const READERS_PER_ZONE: f64 = 2.0;
+/// Changes of the configuration a second: 7,700 a day.
+const CHANGES_PER_SECOND: f64 = 7_700.0 / 86_400.0;
+/// Calls of the whole mesh a second.
+const CALLS_PER_SECOND: f64 = 1_000_000.0;
+/// Restarts a second: 1,700 a day.
+const RESTARTS_PER_SECOND: f64 = 1_700.0 / 86_400.0;
+/// Time for which a key is remembered, in seconds.
+const KEY_MEMORY: f64 = 664.0;
+/// Calls on the platform a second that all readers may make.
+const PLATFORM_BUDGET: f64 = 2_000.0;
+/// Share of a core that a node may spend for control.
+const CORE_BUDGET: f64 = 0.027;
+/// Memory that a node may spend for control, in MiB.
+const MEMORY_BUDGET: f64 = 64.0;
+/// Bytes that a node may send for control, a second.
+const BYTES_BUDGET: f64 = 15_000.0;
+const MIB: f64 = 1_048_576.0;
+const MICROS: f64 = 1e-6;
+
+/// Slopes that the measurements printed.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Slopes {
+    /// Control bytes a second of an idle node.
+    pub idle_bytes: f64,
+    /// Further control bytes a second for each node of the fleet.
+    pub idle_bytes_per_node: f64,
+    /// Control bytes of a node for one change.
+    pub change_bytes: f64,
+    /// Further control bytes for each node of the fleet.
+    pub change_bytes_per_node: f64,
+    /// Processor time of an idle node's control, in microseconds a second.
+    pub idle_micros: f64,
+    /// Further processor time for each node of the fleet.
+    pub idle_micros_per_node: f64,
+    /// Processor time of a node for one change, in microseconds.
+    pub change_micros: f64,
+    /// Further processor time for each node of the fleet.
+    pub change_micros_per_node: f64,
+    /// Memory of a node process with a small fleet, in MiB.
+    pub base_mib: f64,
+    /// Memory for each node of the fleet, in bytes.
+    pub bytes_per_node: f64,
+    /// Size of the largest rules text, in bytes.
+    pub text_bytes: f64,
+    /// Size of that text when packed, in bytes.
+    pub packed_bytes: f64,
+    /// Calls on the platform a second of one zone.
+    pub source_calls_per_zone: f64,
+    /// Processor time of handing and admitting one call, in microseconds.
+    pub call_micros: f64,
+    /// Memory for one remembered key, in bytes.
+    pub bytes_per_key: f64,
+}
+
+/// One line of the page.
+#[derive(Clone, Debug, Tabled)]
+pub struct Line {
+    role: &'static str,
+    figure: &'static str,
+    value: String,
+    budget: String,
+    fits: &'static str,
+    #[tabled(rename = "carried by")]
+    mechanism: &'static str,
+}
+
+impl Slopes {
+    /// Reads slopes from their file's text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a slope is missing or unknown.
+    pub fn from_json(text: &str) -> serde_json::Result<Self> {
+        #[derive(Deserialize)]
+        struct File {
+            slopes: Slopes,
+        }
+        let file: File = serde_json::from_str(text)?;
+        Ok(file.slopes)
+    }
+
+    /// Computes the lines of the page.
+    #[must_use]
+    pub fn lines(&self) -> Vec<Line> {
+        let mut lines = self.node_lines();
+        lines.extend(self.shared_lines());
+        lines
+    }
+
+    fn node_lines(&self) -> Vec<Line> {
+        let idle = self.idle_bytes + self.idle_bytes_per_node * NODES;
+        let joins = RESTARTS_PER_SECOND / NODES * self.packed_bytes;
+        let change_bytes = self.change_bytes + self.change_bytes_per_node * NODES;
+        let bytes = idle + CHANGES_PER_SECOND * change_bytes + joins;
+        let idle_micros = self.idle_micros + self.idle_micros_per_node * NODES;
+        let change_micros = self.change_micros + self.change_micros_per_node * NODES;
+        let core = (idle_micros + CHANGES_PER_SECOND * change_micros) * MICROS;
+        let texts = 3.0 * self.text_bytes;
+        let memory = self.base_mib + (self.bytes_per_node * NODES + texts) / MIB;
+        let role = "node";
+        vec![
+            bounded(
+                role,
+                "control bytes a second",
+                bytes,
+                BYTES_BUDGET,
+                "rumour with anti-entropy; limit at the sender",
+            ),
+            bounded(
+                role,
+                "share of a core for control",
+                core,
+                CORE_BUDGET,
+                "constant heartbeats; text judged off the decisions' lock",
+            ),
+            bounded(
+                role,
+                "MiB for control",
+                memory,
+                MEMORY_BUDGET,
+                "members overlay the configuration; ring of deltas",
+            ),
+        ]
+    }
+
+    fn shared_lines(&self) -> Vec<Line> {
+        let calls = CALLS_PER_SECOND / NODES;
+        let keys = calls * KEY_MEMORY;
+        vec![
+            bounded(
+                "readers of the platform",
+                "calls a second, whole fleet",
+                self.source_calls_per_zone * ZONES,
+                PLATFORM_BUDGET,
+                "two readers in each zone by rendezvous order",
+            ),
+            plain(
+                "readers of the platform",
+                "waiting watches, whole fleet",
+                ZONES * READERS_PER_ZONE,
+                "the same",
+            ),
+            plain(
+                "handing and admitting node",
+                "calls a second at each",
+                calls,
+                "every node is both",
+            ),
+            plain(
+                "handing and admitting node",
+                "share of a core for calls, both roles",
+                calls * self.call_micros * MICROS,
+                "one hop, pooled connections",
+            ),
+            plain(
+                "admitting node",
+                "keys remembered, if every call is keyed",
+                keys,
+                "journal, bounded at 60,000 keys",
+            ),
+            plain(
+                "admitting node",
+                "MiB of marks, without answers",
+                keys * self.bytes_per_key / MIB,
+                "journal; answers bounded at 16 MiB",
+            ),
+            plain(
+                "helper of joiners",
+                "seconds for a third of the fleet to fetch snapshots",
+                self.packed_bytes / 2.0 / BYTES_BUDGET,
+                "packed snapshots, limit at the sender",
+            ),
+        ]
+    }
+}
+
+/// Renders the lines as the table of the page.
+#[must_use]
+pub fn render(lines: &[Line]) -> String {
+    Table::new(lines).with(Style::markdown()).to_string()
+}
+
+fn bounded(
+    role: &'static str,
+    figure: &'static str,
+    value: f64,
+    budget: f64,
+    mechanism: &'static str,
+) -> Line {
+    Line {
+        role,
+        figure,
+        value: short(value),
+        budget: short(budget),
+        fits: if value <= budget { "yes" } else { "NO" },
+        mechanism,
+    }
+}
+
+fn plain(role: &'static str, figure: &'static str, value: f64, mechanism: &'static str) -> Line {
+    Line {
+        role,
+        figure,
+        value: short(value),
+        budget: "none".to_owned(),
+        fits: "-",
+        mechanism,
+    }
+}
+
+fn short(value: f64) -> String {
+    if value >= 100.0 {
+        format!("{value:.0}")
+    } else if value >= 1.0 {
+        format!("{value:.1}")
+    } else {
+        format!("{value:.4}")
+    }
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -6,6 +6,7 @@
 //! faults, and reports what it saw. Nothing here is shipped.
 
 pub mod caller;
+pub mod capacity;
 pub mod deployment;
 pub mod error;
 pub mod fleet;
--- /dev/null
+++ b/crates/trials/tests/capacity.rs
@@ -0,0 +1,19 @@
+//! The page of capacity is computed from the recorded slopes.
+
+use std::fs;
+use std::path::Path;
+
+use celeryshore_trials::capacity;
+use celeryshore_trials::capacity::Slopes;
+
+fn doc(name: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    fs::read_to_string(root.join(name)).unwrap()
+}
+
+#[test]
+fn same_table() {
+    let lines = Slopes::from_json(&doc("slopes.json")).unwrap().lines();
+    let table = capacity::render(&lines);
+    assert!(doc("CAPACITY.md").contains(&table), "expected:\n{table}");
+}
