--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -12,14 +12,13 @@
 
 mod exchange;
 mod fleet;
+mod inquiry;
 mod kernel;
 mod plugin;
 mod requests;
 
 pub use crate::exchange::Delivery;
-pub use crate::exchange::Fence;
 pub use crate::exchange::Handover;
-pub use crate::exchange::Inquiry;
 pub use crate::exchange::LoadReport;
 pub use crate::exchange::NotRun;
 pub use crate::exchange::PeerReply;
@@ -27,9 +26,7 @@
 pub use crate::exchange::Phase;
 pub use crate::exchange::Reply;
 pub use crate::exchange::ReplyOutcome;
-pub use crate::exchange::Seen;
 pub use crate::exchange::Unknown;
-pub use crate::exchange::Vote;
 pub use crate::fleet::Base;
 pub use crate::fleet::Candidate;
 pub use crate::fleet::Chain;
@@ -63,6 +60,10 @@
 pub use crate::fleet::TrafficCount;
 pub use crate::fleet::TrafficKind;
 pub use crate::fleet::Update;
+pub use crate::inquiry::Fence;
+pub use crate::inquiry::Inquiry;
+pub use crate::inquiry::Seen;
+pub use crate::inquiry::Vote;
 pub use crate::kernel::Action;
 pub use crate::kernel::Event;
 pub use crate::kernel::Kernel;
--- a/crates/kernel/tests/balancing.rs
+++ b/crates/kernel/tests/balancing.rs
@@ -169,7 +169,7 @@
     mesh.call("vm-1", stock());
     mesh.advance(900);
     let run = mesh.runs[0].clone();
-    mesh.finish(&run, Outcome::Answered(common::response(200, "")));
+    mesh.finish(&run, Outcome::Answered(response(200, "")));
     mesh.advance(900);
     mesh.call("vm-1", stock());
     assert_eq!(mesh.runs[0].vm, run.vm, "an old report is no idle target");
