--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -130,6 +130,9 @@
     pub fingerprint: Digest,
     /// VMs whose target or node was lost while it ran this same request.
     pub casualties: Vec<VmName>,
+    /// Longest wait for a slot after which the request is refused, so that its
+    /// node can try another upstream; absent if it may wait until its deadline.
+    pub max_wait: Option<Duration>,
     /// The request itself.
     pub request: HttpRequest,
 }
@@ -186,6 +189,9 @@
     /// All slots are taken and the queue is full, or its wait exceeds the deadline.
     #[display("overloaded")]
     Overloaded,
+    /// The target itself refused it.
+    #[display("shed")]
+    Shed,
     /// The target in cold start can bear no more.
     #[display("cold-start")]
     ColdStart,
@@ -281,6 +287,10 @@
     pub limit: u32,
     /// Phase of the target.
     pub phase: Phase,
+    /// Expected wait of one more request.
+    pub wait: Duration,
+    /// Usual time that the target takes for a request.
+    pub service_time: Duration,
 }
 
 /// Phase of a target, as the node that admits its work sees it.
--- a/crates/kernel/src/fleet/mod.rs
+++ b/crates/kernel/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 use celeryshore_model::Version;
 use celeryshore_model::VmName;
 
+pub(crate) use self::backoff::Backoff;
 use self::budget::Traffic;
 pub use self::budget::TrafficCount;
 pub use self::budget::TrafficKind;
@@ -72,6 +73,7 @@
 pub use self::pull::PullRequest;
 use self::puller::Puller;
 use self::reader::Reader;
+pub(crate) use self::rendezvous::rank;
 use self::stage::Learning;
 use self::stage::Stage;
 pub use self::stage::StageKind;
--- a/crates/kernel/src/requests/admitting/admission.rs
+++ b/crates/kernel/src/requests/admitting/admission.rs
@@ -1,22 +1,28 @@
 //! Admission of work to the target: slots and a short queue.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use celeryshore_model::Limits;
+use celeryshore_model::Priority;
+use celeryshore_model::Slots;
 use celeryshore_model::Time;
 
+use super::gate::Gate;
 use super::limit::Evidence;
-use super::limit::Limit;
+use super::queue::Queue;
+use crate::Health;
 use crate::LoadReport;
 use crate::NotRun;
 use crate::Phase;
 use crate::requests::WorkId;
+use crate::requests::terms::ColdStartTerms;
 
 /// Service time that is assumed before any answer was seen.
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Part of the usual service time below which work is not begun, as a divisor.
+const HOPELESS_DIVISOR: u32 = 2;
 /// Weight of the latest answer in the mean service time, as a divisor.
 const SMOOTHING: u32 = 8;
 
@@ -40,88 +46,145 @@
     pub(super) retry_after: Duration,
 }
 
+/// What a request asks of the admission.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demand {
+    /// Time left until its deadline.
+    pub(super) remaining: Duration,
+    /// Longest wait after which its caller would rather go elsewhere.
+    pub(super) max_wait: Option<Duration>,
+    /// Its rank.
+    pub(super) priority: Priority,
+}
+
 /// Slots and queue of one target.
 #[derive(Debug)]
 pub(super) struct Admission {
-    limit: Limit,
+    gate: Gate,
     room: usize,
     running: u32,
-    queue: VecDeque<WorkId>,
+    queue: Queue,
     service_time: Duration,
     is_target_draining: bool,
 }
 
 impl Admission {
     /// Makes the admission of a node that knows nothing of its target.
-    pub(super) const fn new() -> Self {
+    pub(super) fn new() -> Self {
         Self {
-            limit: Limit::new(),
+            gate: Gate::new(),
             room: 0,
             running: 0,
-            queue: VecDeque::new(),
+            queue: Queue::default(),
             service_time: ASSUMED_SERVICE_TIME,
             is_target_draining: false,
         }
     }
 
     /// Takes what the target can bear from the configuration.
-    pub(super) fn configure(&mut self, limits: Limits) {
-        self.limit.configure(limits);
+    pub(super) fn configure(
+        &mut self,
+        now: Time,
+        limits: Limits,
+        slots: Option<Slots>,
+        terms: ColdStartTerms,
+    ) {
+        self.gate.configure(now, limits, slots, terms);
         self.room = limits.queue.get() as usize;
     }
 
+    /// Notes a sign that the target may have started again.
+    pub(super) fn doubt(&mut self, now: Time) {
+        self.gate.reset(now);
+    }
+
+    /// Takes the time for which the target says that it stays in cold start.
+    pub(super) fn told(&mut self, now: Time, cold_for: Duration) {
+        self.gate.told(now, cold_for);
+    }
+
+    /// Takes what an examination of the target showed.
+    pub(super) fn examined(&mut self, now: Time, health: Health) {
+        self.gate.examined(now, health);
+    }
+
+    /// Tells whether the target is to be examined now, and notes that it is.
+    pub(super) fn take_examination(&mut self, now: Time) -> bool {
+        self.gate.take_examination(now)
+    }
+
+    /// Returns when waiting work may start without the end of other work.
+    pub(super) fn next_at(&self, now: Time) -> Option<Time> {
+        self.gate.next_at(now)
+    }
+
     /// Takes the target's claim about itself; tells whether the limit fell.
     pub(super) fn claim(&mut self, now: Time, phase: Phase) -> bool {
         let was_draining = self.is_target_draining;
         self.is_target_draining = phase == Phase::Draining;
         if was_draining && !self.is_target_draining {
-            self.limit.reset(now);
+            self.gate.reset(now);
         }
-        self.limit.claim(now, phase)
+        self.gate.claim(now, phase)
     }
 
-    /// Judges a request that has `remaining` time left.
-    pub(super) fn judge(&self, now: Time, remaining: Duration) -> Verdict {
-        if remaining.is_zero() {
-            return Verdict::Refuse(self.refusal(NotRun::Deadline));
+    /// Judges a request.
+    pub(super) fn judge(&self, now: Time, demand: Demand) -> Verdict {
+        if demand.remaining.is_zero() {
+            return Verdict::Refuse(self.refusal(now, NotRun::Deadline));
         }
         if self.is_target_draining {
-            return Verdict::Refuse(self.refusal(NotRun::Leaving));
+            return Verdict::Refuse(self.refusal(now, NotRun::Leaving));
         }
-        if self.queue.is_empty() && self.limit.admits(now, self.running) {
+        let place = self.queue.place(demand.priority);
+        if place == 0 && self.gate.admits(now, self.running) {
             return Verdict::Run;
         }
-        if self.queue.len() < self.room && self.fits(self.queue.len(), remaining) {
+        let is_short = demand
+            .max_wait
+            .is_none_or(|max| self.expected_wait(now, place) <= max);
+        if self.queue.len() < self.room && is_short && self.fits(now, place, demand.remaining) {
             return Verdict::Wait;
         }
-        Verdict::Refuse(self.overload())
+        Verdict::Refuse(self.overload(now))
     }
 
     /// Makes the refusal of a request that the target can't bear now.
-    pub(super) fn overload(&self) -> Refusal {
-        self.refusal(match self.limit.phase() {
-            Phase::Down => NotRun::TargetDown,
-            Phase::Warm => NotRun::Overloaded,
-            _ => NotRun::ColdStart,
-        })
+    pub(super) fn overload(&self, now: Time) -> Refusal {
+        self.refusal(
+            now,
+            match self.gate.phase() {
+                Phase::Down => NotRun::TargetDown,
+                Phase::Warm => NotRun::Overloaded,
+                _ => NotRun::ColdStart,
+            },
+        )
     }
 
-    fn refusal(&self, reason: NotRun) -> Refusal {
+    fn refusal(&self, now: Time, reason: NotRun) -> Refusal {
         Refusal {
             reason,
-            retry_after: self.expected_wait(self.queue.len()).max(MIN_RETRY_AFTER),
+            retry_after: self
+                .expected_wait(now, self.queue.len())
+                .max(MIN_RETRY_AFTER),
         }
     }
 
     /// Tells whether work at this place in the queue can end in `remaining` time.
-    pub(super) fn fits(&self, place: usize, remaining: Duration) -> bool {
-        self.limit.phase() != Phase::Down
-            && self.expected_wait(place) + self.service_time < remaining
+    pub(super) fn fits(&self, now: Time, place: usize, remaining: Duration) -> bool {
+        self.gate.phase() != Phase::Down
+            && self.expected_wait(now, place) + self.service_time < remaining
+    }
+
+    /// Tells whether work that starts now may well end in `remaining` time.
+    pub(super) fn can_finish(&self, remaining: Duration) -> bool {
+        remaining >= self.service_time / HOPELESS_DIVISOR && !remaining.is_zero()
     }
 
     /// Takes a slot.
-    pub(super) fn start(&mut self) {
+    pub(super) fn start(&mut self, now: Time) {
         self.running += 1;
+        self.gate.sent(now);
     }
 
     /// Frees a slot and learns from its work; tells whether the limit fell.
@@ -130,7 +193,7 @@
             self.service_time = (self.service_time * (SMOOTHING - 1) + elapsed) / SMOOTHING;
         }
         self.release();
-        self.limit.observe(now, evidence)
+        self.gate.observe(now, evidence)
     }
 
     /// Frees a slot whose work says nothing about the target.
@@ -143,37 +206,43 @@
         self.running
     }
 
-    /// Puts work at the end of the queue.
-    pub(super) fn enqueue(&mut self, work: WorkId) {
-        self.queue.push_back(work);
+    /// Lets work wait; tells whether other work now waits behind it.
+    pub(super) fn enqueue(&mut self, priority: Priority, work: WorkId) -> bool {
+        self.queue.push(priority, work) + 1 < self.queue.len()
     }
 
     /// Takes work out of the queue.
     pub(super) fn dequeue(&mut self, work: WorkId) {
-        self.queue.retain(|w| *w != work);
+        self.queue.remove(work);
     }
 
     /// Returns the work that waits, the next to run first.
     pub(super) fn queue(&self) -> impl Iterator<Item = WorkId> {
-        self.queue.iter().copied()
+        self.queue.iter()
     }
 
     /// Returns the work that is to run next, if a slot is free.
     pub(super) fn next(&mut self, now: Time) -> Option<WorkId> {
-        if self.limit.admits(now, self.running) {
-            self.queue.pop_front()
+        if self.gate.admits(now, self.running) {
+            self.queue.pop()
         } else {
             None
         }
     }
 
     /// Returns the load to report to handing nodes.
-    pub(super) fn load(&self) -> LoadReport {
+    pub(super) fn load(&self, now: Time) -> LoadReport {
         let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         LoadReport {
             in_flight: self.running.saturating_add(queued),
-            limit: self.limit.get(),
+            limit: self.gate.get(),
             phase: self.phase(),
+            wait: if self.queue.is_empty() && self.gate.admits(now, self.running) {
+                Duration::ZERO
+            } else {
+                self.expected_wait(now, self.queue.len())
+            },
+            service_time: self.service_time,
         }
     }
 
@@ -181,14 +250,15 @@
         if self.is_target_draining {
             Phase::Draining
         } else {
-            self.limit.phase()
+            self.gate.phase()
         }
     }
 
     /// Returns how long a request at this place in the queue waits for a slot.
-    fn expected_wait(&self, place: usize) -> Duration {
+    fn expected_wait(&self, now: Time, place: usize) -> Duration {
         let ahead = u32::try_from(place).unwrap_or(u32::MAX);
         let rounds = ahead.saturating_add(1);
-        self.service_time.saturating_mul(rounds) / self.limit.get().max(1)
+        let for_slot = self.service_time.saturating_mul(rounds) / self.gate.get().max(1);
+        for_slot.max(self.gate.pace_wait(now, place))
     }
 }
--- a/crates/kernel/src/requests/admitting/expiry.rs
+++ b/crates/kernel/src/requests/admitting/expiry.rs
@@ -77,12 +77,12 @@
         let now = cx.now.mono;
         let is_late = |(place, id): &(usize, WorkId)| {
             let work = self.works.get(id);
-            work.is_some_and(|w| !self.admission.fits(*place, w.deadline - now))
+            work.is_some_and(|w| !self.admission.fits(now, *place, w.deadline - now))
         };
         let queue = self.admission.queue().enumerate();
         let late: Vec<_> = queue.filter(is_late).collect();
         for (_, id) in late {
-            let refusal = self.admission.overload();
+            let refusal = self.admission.overload(now);
             self.end(cx, id, refusal.into());
         }
     }
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Refuses work that was waiting.
+    pub(super) fn refuse_waiting(&mut self, cx: &mut Context<'_>, id: WorkId, reason: NotRun) {
+        self.end(cx, id, Refusal::new(reason).into());
+    }
+
     /// Ends waiting work.
     fn end(&mut self, cx: &mut Context<'_>, id: WorkId, outcome: ReplyOutcome) {
         self.answer_origin(cx, id, outcome);
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -3,13 +3,17 @@
 mod admission;
 mod arrival;
 mod check;
+mod crash;
 mod expiry;
+mod gate;
 mod judgement;
 mod keyed;
 mod latency;
 mod limit;
 mod outcome;
+mod pacer;
 mod parking;
+mod queue;
 mod status;
 mod strangers;
 mod task;
@@ -19,14 +23,18 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
+use celeryshore_model::UpstreamName;
 use celeryshore_model::VmName;
 
 use self::admission::Admission;
+use self::admission::Demand;
 use self::admission::Refusal;
 use self::admission::Verdict;
 use self::arrival::Arrival;
+use self::crash::Losses;
 use self::judgement::Judgement;
 use self::limit::Evidence;
 use self::strangers::Strangers;
@@ -38,9 +46,12 @@
 use self::work::Work;
 use self::work::WorkState;
 use crate::Handover;
+use crate::Health;
+use crate::NotRun;
 use crate::Phase;
 use crate::Reply;
 use crate::ReplyOutcome;
+use crate::requests::CrashEvidence;
 use crate::requests::ExchangeId;
 use crate::requests::Journal;
 use crate::requests::JournalConfig;
@@ -59,9 +70,13 @@
 /// Most time that is kept for the way of the reply.
 const MAX_REPLY_MARGIN: Duration = Duration::from_millis(5);
 
+/// Name and life of the own target, and whether it is out of service.
+type OwnTarget = (UpstreamName, Incarnation, bool);
+
 /// Work at this node's own target.
 #[derive(Debug)]
 pub(super) struct Admitting {
+    own: Option<OwnTarget>,
     works: BTreeMap<WorkId, Work>,
     waiters: BTreeMap<WaiterId, Waiter>,
     parked: BTreeMap<ParkedId, Arrival>,
@@ -73,12 +88,14 @@
     admission: Admission,
     journal: Journal<WaiterId>,
     strangers: Strangers,
+    losses: Losses,
 }
 
 impl Admitting {
     /// Makes the admitting side of a process that starts now.
     pub(super) fn new(vm: VmName, now: Now) -> Self {
         Self {
+            own: None,
             works: BTreeMap::new(),
             waiters: BTreeMap::new(),
             parked: BTreeMap::new(),
@@ -90,6 +107,7 @@
             admission: Admission::new(),
             journal: Journal::new(JournalConfig::new(vm), now),
             strangers: Strangers::default(),
+            losses: Losses::default(),
         }
     }
 
@@ -99,15 +117,19 @@
     }
 
     /// Returns the earliest deadline.
-    pub(super) fn next_due(&self) -> Option<Time> {
-        self.deadlines.next()
+    pub(super) fn next_due(&self, now: Time) -> Option<Time> {
+        let due = [self.deadlines.next(), self.admission.next_at(now)];
+        due.into_iter().flatten().min()
     }
 
     /// Takes a configuration that came into force.
     pub(super) fn configured(&mut self, cx: &mut Context<'_>) {
         if let Some(limits) = cx.view.own_limits() {
-            self.admission.configure(limits);
+            let slots = cx.view.own().and_then(|own| own.slots);
+            let terms = cx.view.cfg().terms.cold_start;
+            self.admission.configure(cx.now.mono, limits, slots, terms);
         }
+        self.observe_own(cx);
         self.unpark(cx);
         self.fill(cx);
     }
@@ -119,6 +141,49 @@
         }
     }
 
+    /// Takes the time for which the target says that it stays in cold start.
+    pub(super) fn told_cold(&mut self, cx: &mut Context<'_>, cold_for: Duration) {
+        self.admission.told(cx.now.mono, cold_for);
+    }
+
+    /// Takes what an examination of the target showed.
+    pub(super) fn examined(&mut self, cx: &mut Context<'_>, health: Health) {
+        if health == Health::Unreachable {
+            self.target_gone(cx);
+        }
+        self.admission.examined(cx.now.mono, health);
+        self.refuse_late(cx);
+        self.fill(cx);
+    }
+
+    /// Has the target examined, if that is due.
+    pub(super) fn examine(&mut self, cx: &mut Context<'_>) {
+        let path = cx.view.own_service().and_then(|s| s.health.clone());
+        if let Some(path) = path
+            && self.admission.take_examination(cx.now.mono)
+        {
+            cx.actions.push(RequestAction::Examine { path });
+        }
+    }
+
+    /// Doubts a target that has started again or that comes back into service,
+    /// since it may be in cold start.
+    fn observe_own(&mut self, cx: &mut Context<'_>) {
+        let own = cx.view.own();
+        let standing = own.map(|own| (own.name.clone(), own.life, cx.view.is_own_out()));
+        if standing == self.own {
+            return;
+        }
+        let was_out = self.own.as_ref().is_some_and(|(_, _, out)| *out);
+        let is_same = |a: &OwnTarget, b: &OwnTarget| a.0 == b.0 && a.1 == b.1;
+        let pair = self.own.as_ref().zip(standing.as_ref());
+        let has_restarted = pair.is_none_or(|(old, new)| !is_same(old, new));
+        if was_out || has_restarted {
+            self.admission.doubt(cx.now.mono);
+        }
+        self.own = standing;
+    }
+
     /// Takes a request from a handing node.
     pub(super) fn received(
         &mut self,
@@ -161,23 +226,30 @@
             return;
         };
         self.deadlines.cancel(id.into());
+        self.suspect(cx, &work, &outcome);
         self.observe(cx, &work, &outcome);
-        suspect(cx, &work, &outcome);
         if let Some(copy) = &work.copy {
-            self.end_key(cx, copy, outcome::key_outcome(&outcome));
+            let dialect = &cx.view.cfg().terms.dialect;
+            self.end_key(cx, copy, outcome::key_outcome(dialect, &outcome));
         }
         if let Some(origin) = work.origin {
             self.origins.remove(&origin);
-            self.reply(cx, origin, outcome::reply_outcome(outcome));
+            let dialect = &cx.view.cfg().terms.dialect;
+            self.reply(cx, origin, outcome::reply_outcome(dialect, outcome));
         }
         self.fill(cx);
     }
 
     /// Runs a request, lets it wait for a slot, or refuses it.
     fn admit(&mut self, cx: &mut Context<'_>, arrival: Arrival, copy: Option<KeyedCopy>) {
-        let verdict = self
-            .admission
-            .judge(cx.now.mono, arrival.deadline - cx.now.mono);
+        let kind = cx.view.kind(&arrival.handover.kind);
+        let priority = kind.map(|kind| kind.priority).unwrap_or_default();
+        let demand = Demand {
+            remaining: arrival.deadline - cx.now.mono,
+            max_wait: arrival.handover.max_wait,
+            priority,
+        };
+        let verdict = self.admission.judge(cx.now.mono, demand);
         if let Verdict::Refuse(refusal) = verdict {
             self.reply(cx, arrival.origin, refusal.into());
             if let Some(copy) = copy {
@@ -188,8 +260,8 @@
         let id = self.add(arrival, copy);
         if verdict == Verdict::Run {
             self.run(cx, id);
-        } else {
-            self.admission.enqueue(id);
+        } else if self.admission.enqueue(priority, id) {
+            self.refuse_late(cx);
         }
     }
 
@@ -215,7 +287,13 @@
 
     fn fill(&mut self, cx: &mut Context<'_>) {
         while let Some(id) = self.admission.next(cx.now.mono) {
-            self.run(cx, id);
+            let now = cx.now.mono;
+            let deadline = self.works.get(&id).map(|work| work.deadline);
+            if deadline.is_some_and(|at| self.admission.can_finish(at - now)) {
+                self.run(cx, id);
+            } else {
+                self.refuse_waiting(cx, id, NotRun::Deadline);
+            }
         }
     }
 
@@ -225,12 +303,17 @@
         };
         let since = cx.now.mono;
         work.state = WorkState::Running { since };
-        self.admission.start();
+        self.admission.start(since);
         let remaining = work.deadline - since;
-        let request = work.handover.request.clone();
+        let dialect = &cx.view.cfg().terms.dialect;
+        let mut request = work.handover.request.clone();
+        headers::stamp(dialect, &mut request, work.handover.depth, remaining);
+        if let Some(own) = cx.view.own() {
+            headers::expect_target(dialect, &mut request, &own.name);
+        }
         cx.actions.push(RequestAction::Run {
             work: id,
-            request: headers::stamp(request, work.handover.depth, remaining),
+            request,
             deadline: work.deadline + expiry::grace(work),
         });
     }
@@ -240,7 +323,11 @@
             return;
         };
         let now = cx.now.mono;
+        let dialect = &cx.view.cfg().terms.dialect;
         let evidence = match outcome {
+            Outcome::Answered(response) if headers::is_misdirected(dialect, response) => {
+                Evidence::Reset
+            }
             Outcome::Answered(response) if headers::is_shed(response) => Evidence::Overloaded,
             Outcome::Answered(response) if headers::is_failure(response) => Evidence::Failed,
             Outcome::Answered(_) => Evidence::Answered {
@@ -257,10 +344,26 @@
         }
     }
 
+    /// Records what an outcome says of a request that may crash targets.
+    fn suspect(&mut self, cx: &mut Context<'_>, work: &Work, outcome: &Outcome) {
+        let fingerprint = work.handover.fingerprint;
+        let is_lost = cx.view.cfg().terms.crash_evidence == CrashEvidence::LostAnswer;
+        match outcome {
+            Outcome::Answered(_) => cx.suspicions.clear(&fingerprint),
+            Outcome::Broken | Outcome::Silent if is_lost => {
+                let own = [cx.view.cfg().vm.clone()];
+                cx.suspicions.record(cx.now.mono, fingerprint, &own);
+            }
+            Outcome::Broken => self.losses.note(cx.now.mono, &work.handover),
+            Outcome::Silent => {}
+            Outcome::NeverSent => self.target_gone(cx),
+        }
+    }
+
     fn reply(&self, cx: &mut Context<'_>, origin: Origin, outcome: ReplyOutcome) {
         let reply = Reply {
             outcome,
-            load: self.admission.load(),
+            load: self.admission.load(cx.now.mono),
             version: cx.view.version(),
             incarnation: cx.view.cfg().incarnation,
         };
@@ -268,19 +371,6 @@
     }
 }
 
-/// Records what an outcome says of a request that may crash targets.
-fn suspect(cx: &mut Context<'_>, work: &Work, outcome: &Outcome) {
-    let fingerprint = work.handover.fingerprint;
-    match outcome {
-        Outcome::Answered(_) => cx.suspicions.clear(&fingerprint),
-        Outcome::Broken | Outcome::Silent => {
-            let own = [cx.view.cfg().vm.clone()];
-            cx.suspicions.record(cx.now.mono, fingerprint, &own);
-        }
-        Outcome::NeverSent => {}
-    }
-}
-
 /// Returns the time left for the work, without the way of the reply.
 fn remaining(cx: &Context<'_>, handover: &Handover) -> Duration {
     let remaining = handover.remaining.saturating_sub(cx.lost_time);
--- a/crates/kernel/src/requests/admitting/outcome.rs
+++ b/crates/kernel/src/requests/admitting/outcome.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use celeryshore_model::Dialect;
 use celeryshore_model::HttpResponse;
 
 use super::admission::Refusal;
@@ -16,9 +17,14 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Translates the outcome at the target.
-pub(super) fn reply_outcome(outcome: Outcome) -> ReplyOutcome {
+pub(super) fn reply_outcome(dialect: &Dialect, outcome: Outcome) -> ReplyOutcome {
     match outcome {
-        Outcome::Answered(response) if headers::is_not_run(&response) => shed(&response).into(),
+        Outcome::Answered(response) if headers::is_misdirected(dialect, &response) => {
+            Refusal::new(NotRun::NotHere).into()
+        }
+        Outcome::Answered(response) if headers::is_not_run(dialect, &response) => {
+            shed(&response).into()
+        }
         Outcome::Answered(response) => ReplyOutcome::Answered(response),
         Outcome::NeverSent => Refusal::new(NotRun::TargetDown).into(),
         Outcome::Broken | Outcome::Silent => ReplyOutcome::Unknown(Unknown::TargetLost),
@@ -26,9 +32,9 @@
 }
 
 /// Translates the outcome at the target for the journal.
-pub(super) fn key_outcome(outcome: &Outcome) -> KeyOutcome {
+pub(super) fn key_outcome(dialect: &Dialect, outcome: &Outcome) -> KeyOutcome {
     match outcome {
-        Outcome::Answered(response) if headers::is_not_run(response) => KeyOutcome::NotRun,
+        Outcome::Answered(response) if headers::is_not_run(dialect, response) => KeyOutcome::NotRun,
         Outcome::Answered(response) => KeyOutcome::Done(response.clone()),
         Outcome::NeverSent => KeyOutcome::NotRun,
         Outcome::Broken | Outcome::Silent => KeyOutcome::Lost,
@@ -37,7 +43,7 @@
 
 fn shed(response: &HttpResponse) -> Refusal {
     Refusal {
-        reason: NotRun::Overloaded,
+        reason: NotRun::Shed,
         retry_after: headers::retry_after(response).unwrap_or(RETRY_AFTER),
     }
 }
--- /dev/null
+++ b/crates/kernel/src/requests/admitting/pacer.rs
@@ -0,0 +1,187 @@
+//! Pace of requests to a target that bears a rate while it is in cold start.
+//!
+//! Load pattern: targets that restart, alone or a whole zone together, while the
+//! full load of their callers goes on. A cold target falls over under more than
+//! its rate, and every fall begins its cold start anew.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use celeryshore_model::ColdStart;
+use celeryshore_model::Time;
+
+use crate::Health;
+use crate::Phase;
+
+/// Span in which the requests to a cold target are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Time between two examinations of a target of which nothing certain is known.
+/// A process takes longer than this to start.
+const EXAMINE_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between two examinations of a target that stays down.
+const MAX_EXAMINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is known of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// It may have started again; it counts as cold until it was examined.
+    Unsure,
+    /// It is in cold start until this time.
+    Cold(Time),
+    /// It bears its full load.
+    Warm,
+    /// It accepts no connection.
+    Down,
+}
+
+/// Requests that a target in cold start got lately.
+#[derive(Debug)]
+pub(super) struct Pacer {
+    allowed: usize,
+    span: Duration,
+    standing: Standing,
+    /// Times of the requests within the latest window.
+    sent: VecDeque<Time>,
+    /// What an earlier life of this process may have sent counts until this time.
+    full_until: Time,
+    examine_at: Option<Time>,
+    interval: Duration,
+}
+
+impl Pacer {
+    /// Makes the pacer of a process that starts now.
+    pub(super) fn new(now: Time, cold: ColdStart, allowed: usize) -> Self {
+        Self {
+            allowed,
+            span: cold.span,
+            standing: Standing::Unsure,
+            sent: VecDeque::new(),
+            full_until: now + WINDOW,
+            examine_at: Some(now),
+            interval: EXAMINE_INTERVAL,
+        }
+    }
+
+    /// Takes a changed bound.
+    pub(super) fn configure(&mut self, cold: ColdStart, allowed: usize) {
+        self.span = cold.span;
+        self.allowed = allowed;
+    }
+
+    /// Returns the phase of the target.
+    pub(super) const fn phase(&self) -> Phase {
+        match self.standing {
+            Standing::Unsure | Standing::Cold(_) => Phase::Cold,
+            Standing::Warm => Phase::Warm,
+            Standing::Down => Phase::Down,
+        }
+    }
+
+    /// Tells whether the target may get one more request now.
+    pub(super) fn admits(&self, now: Time) -> bool {
+        match self.standing {
+            Standing::Warm => true,
+            Standing::Cold(until) if until <= now => true,
+            Standing::Cold(_) | Standing::Unsure => {
+                now >= self.full_until && self.in_window(now) < self.allowed
+            }
+            Standing::Down => false,
+        }
+    }
+
+    /// Returns when a target that is paced may get its next request.
+    pub(super) fn next_at(&self, now: Time) -> Option<Time> {
+        match self.standing {
+            Standing::Warm | Standing::Down => None,
+            Standing::Cold(until) if until <= now => None,
+            Standing::Cold(_) | Standing::Unsure => {
+                let oldest = self.sent.len().checked_sub(self.allowed);
+                let frees = oldest.and_then(|i| self.sent.get(i)).map(|at| *at + WINDOW);
+                frees.max(Some(self.full_until)).filter(|at| *at > now)
+            }
+        }
+    }
+
+    /// Returns the time until a paced target has had `ahead` more requests.
+    pub(super) fn wait(&self, now: Time, ahead: usize) -> Duration {
+        if matches!(self.standing, Standing::Warm) || self.admits(now) {
+            return Duration::ZERO;
+        }
+        let next = self.next_at(now).map_or(WINDOW, |at| at - now);
+        let rounds = u32::try_from(ahead / self.allowed).unwrap_or(u32::MAX);
+        next + WINDOW.saturating_mul(rounds)
+    }
+
+    /// Notes that the target gets a request.
+    pub(super) fn sent(&mut self, now: Time) {
+        while self.sent.front().is_some_and(|at| now - *at > WINDOW) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
+    }
+
+    /// Takes the time for which the target says, by way of the platform, that it
+    /// stays cold. Statements lag, so one of warmth does not end a doubt.
+    pub(super) fn told(&mut self, now: Time, cold_for: Duration) {
+        if !cold_for.is_zero() && self.standing != Standing::Down {
+            self.standing = self.colder(now + cold_for);
+        }
+    }
+
+    /// Notes a sign that the target may have started again.
+    pub(super) fn doubt(&mut self, now: Time) {
+        if matches!(self.standing, Standing::Warm | Standing::Cold(_)) {
+            self.standing = Standing::Unsure;
+            self.examine_at.get_or_insert(now);
+        }
+    }
+
+    /// Notes that the target accepts no connection.
+    pub(super) fn refused(&mut self, now: Time) {
+        if self.standing != Standing::Down {
+            self.standing = Standing::Down;
+            self.interval = EXAMINE_INTERVAL;
+            self.examine_at = Some(now + self.interval);
+        }
+    }
+
+    /// Takes what an examination of the target showed.
+    pub(super) fn examined(&mut self, now: Time, health: Health) {
+        self.examine_at = None;
+        self.interval = match health {
+            Health::Good { .. } => EXAMINE_INTERVAL,
+            Health::Bad | Health::Unreachable => (self.interval * 2).min(MAX_EXAMINE_INTERVAL),
+        };
+        self.standing = match health {
+            Health::Good { cold_for } if cold_for.is_zero() => Standing::Warm,
+            Health::Good { cold_for } => Standing::Cold(now + cold_for),
+            Health::Bad if self.standing == Standing::Down => Standing::Unsure,
+            Health::Bad => self.standing,
+            Health::Unreachable => Standing::Down,
+        };
+        if matches!(self.standing, Standing::Unsure | Standing::Down) {
+            self.examine_at = Some(now + self.interval);
+        }
+    }
+
+    /// Returns when the target is to be examined.
+    pub(super) const fn examine_at(&self) -> Option<Time> {
+        self.examine_at
+    }
+
+    /// Notes that an examination is under way.
+    pub(super) const fn begin_examination(&mut self) {
+        self.examine_at = None;
+    }
+
+    fn colder(&self, until: Time) -> Standing {
+        match self.standing {
+            Standing::Cold(known) => Standing::Cold(known.max(until)),
+            Standing::Unsure | Standing::Warm | Standing::Down => Standing::Cold(until),
+        }
+    }
+
+    fn in_window(&self, now: Time) -> usize {
+        self.sent.iter().filter(|at| now - **at <= WINDOW).count()
+    }
+}
--- a/crates/kernel/src/requests/admitting/status.rs
+++ b/crates/kernel/src/requests/admitting/status.rs
@@ -1,6 +1,7 @@
 //! Summary of the work at the own target.
 
 use celeryshore_model::ByteSize;
+use celeryshore_model::Time;
 
 use super::Admitting;
 use crate::LoadReport;
@@ -24,9 +25,9 @@
 
 impl Admitting {
     /// Returns a summary.
-    pub(in crate::requests) fn status(&self) -> AdmittingStatus {
+    pub(in crate::requests) fn status(&self, now: Time) -> AdmittingStatus {
         AdmittingStatus {
-            load: self.admission.load(),
+            load: self.admission.load(now),
             queue: self.admission.queue().count(),
             judgements: self.judgements.len(),
             waiters: self.waiters.len(),
--- a/crates/kernel/src/requests/counters.rs
+++ b/crates/kernel/src/requests/counters.rs
@@ -47,6 +47,7 @@
             RequestAction::Run { .. } => self.runs += 1,
             RequestAction::Abort { .. } => self.aborts += 1,
             RequestAction::Abandon { .. }
+            | RequestAction::Examine { .. }
             | RequestAction::Reply { .. }
             | RequestAction::CatchUp { .. }
             | RequestAction::WakeAt(_)
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -53,10 +53,13 @@
             RequestEvent::Configured(_) => self.admitting.configured(cx),
             RequestEvent::Tick => {
                 self.admitting.expire(cx);
+                self.admitting.examine(cx);
                 self.deliver_all(cx);
                 self.handing.expire(cx);
             }
             RequestEvent::Probed { claimed } => self.admitting.probed(cx, claimed),
+            RequestEvent::Cold { cold_for } => self.admitting.told_cold(cx, cold_for),
+            RequestEvent::Examined { health } => self.admitting.examined(cx, health),
             RequestEvent::Member { vm, state } => {
                 self.handing.observed(cx, &vm, state);
                 self.admitting.observed(cx, &vm, state);
--- a/crates/kernel/src/requests/event.rs
+++ b/crates/kernel/src/requests/event.rs
@@ -89,6 +89,16 @@
         /// Phase that the target claims.
         claimed: Phase,
     },
+    /// The target says, by way of the platform, for how long it stays in cold start.
+    Cold {
+        /// How much longer; zero if it is warm.
+        cold_for: Duration,
+    },
+    /// The target was examined at its health endpoint.
+    Examined {
+        /// What was found.
+        health: Health,
+    },
     /// A configuration came into force.
     Configured(Arc<Snapshot>),
     /// A member of the fleet changed its state.
@@ -104,6 +114,20 @@
     Drain,
 }
 
+/// What an examination of the target showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// It says that it is healthy.
+    Good {
+        /// How much longer it is in cold start.
+        cold_for: Duration,
+    },
+    /// It answers, but not that it is healthy.
+    Bad,
+    /// It does not answer.
+    Unreachable,
+}
+
 /// How far the first message of a failed exchange had got.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Progress {
@@ -177,6 +201,11 @@
         /// Number of the work.
         work: WorkId,
     },
+    /// Examine the target at its health endpoint.
+    Examine {
+        /// Path of the endpoint.
+        path: String,
+    },
     /// Learn a newer version from a peer that has it.
     CatchUp {
         /// The version that is needed.
--- a/crates/kernel/src/requests/handing/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -1,6 +1,7 @@
 //! Choice of the upstream that a request is handed to.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use celeryshore_model::RequestKey;
 use celeryshore_model::Service;
@@ -8,6 +9,7 @@
 use celeryshore_model::Time;
 use celeryshore_model::Upstream;
 use celeryshore_model::UpstreamName;
+use celeryshore_model::UpstreamState;
 use celeryshore_model::ZoneName;
 
 use super::call::Call;
@@ -43,7 +45,7 @@
     distance: Distance,
     is_doubtful: bool,
     has_room: bool,
-    ratio: u64,
+    cost: Duration,
 }
 
 impl Balancer {
@@ -77,6 +79,11 @@
         Some(upstream.clone())
     }
 
+    /// Tells whether there is another upstream to which the call may go.
+    pub(super) fn has_other(&self, cx: &Context<'_>, call: &Call) -> bool {
+        self.has_sound(cx, call)
+    }
+
     /// Tells whether there is an upstream in order that the call has not been
     /// handed to.
     pub(super) fn has_sound(&self, cx: &Context<'_>, call: &Call) -> bool {
@@ -137,8 +144,9 @@
             .iter()
             .filter(|name| !call.tried.contains(name))
             .filter_map(|name| snapshot.upstreams.get(name))
+            .filter(|u| u.state == UpstreamState::Serving)
             .filter(|u| !snapshot.is_out(u) && cx.view.is_usable(&u.vm))
-            .map(|u| self.candidate(cx, snapshot, service, u))
+            .map(|u| self.candidate(cx, snapshot, service, u, call))
             .collect()
     }
 
@@ -148,17 +156,22 @@
         snapshot: &Snapshot,
         service: &Service,
         upstream: &'a Upstream,
+        call: &Call,
     ) -> Candidate<'a> {
         let now = cx.now.mono;
-        let cold = service.limits.cold_slots.get();
+        let cold = service.limits.cold_slots;
+        let cold = upstream.slots.unwrap_or(cold).get();
+        let distance = distance(snapshot, &cx.view.cfg().zone, &upstream.zone);
+        let local_wait = call.local_wait().filter(|_| distance == Distance::Zone);
         let load = self.loads.get(&upstream.name).copied().unwrap_or_default();
         let is_suspect = cx.view.member(&upstream.vm) == MemberState::Suspect;
         Candidate {
             upstream,
-            distance: distance(snapshot, &cx.view.cfg().zone, &upstream.zone),
+            distance,
             is_doubtful: is_suspect || load.is_avoided(now),
-            has_room: load.has_room(now, cold, cx.view.zone_size(&upstream.zone)),
-            ratio: load.ratio(now, cold),
+            has_room: load.has_room(now, cold, cx.view.zone_size(&upstream.zone))
+                || local_wait.is_some_and(|wait| load.wait(now, cold) <= wait),
+            cost: load.cost(now, cold),
         }
     }
 }
@@ -194,11 +207,11 @@
             .filter(|c| c.has_room && c.distance == distance)
             .copied()
             .collect();
-        if let Some(choice) = less_loaded_of_two(rng, roomy) {
+        if let Some(choice) = cheapest(rng, roomy) {
             return Some(choice);
         }
     }
-    less_loaded_of_two(rng, sound).or_else(|| less_loaded_of_two(rng, candidates.iter().collect()))
+    cheapest(rng, sound).or_else(|| cheapest(rng, candidates.iter().collect()))
 }
 
 /// Chooses by the order of a key, in which only a first send may pass over an
@@ -221,11 +234,11 @@
     Some(choice.upstream)
 }
 
-fn less_loaded_of_two<'a>(
+fn cheapest<'a>(
     rng: &mut fastrand::Rng,
     mut candidates: Vec<&Candidate<'a>>,
 ) -> Option<&'a Upstream> {
     rng.shuffle(&mut candidates);
-    let choice = candidates.into_iter().take(2).min_by_key(|c| c.ratio)?;
+    let choice = candidates.into_iter().min_by_key(|c| c.cost)?;
     Some(choice.upstream)
 }
--- a/crates/kernel/src/requests/handing/budget.rs
+++ b/crates/kernel/src/requests/handing/budget.rs
@@ -4,6 +4,8 @@
 
 /// Cost of one retry, in thousandths of a first attempt.
 const RETRY_COST: u32 = 1_000;
+/// Part of the common retries that is handed out, as a divisor.
+const SLACK_DIVISOR: u32 = 2;
 /// Most retries that can be saved up, in thousandths.
 const MAX_TOKENS: u32 = 10 * RETRY_COST;
 /// Share of overload refusals beyond which nothing is retried, in thousandths.
@@ -15,6 +17,7 @@
 #[derive(Debug)]
 pub(super) struct Budget {
     tokens: u32,
+    most: u32,
     pressure: u32,
 }
 
@@ -23,13 +26,24 @@
     pub(super) const fn new() -> Self {
         Self {
             tokens: MAX_TOKENS,
+            most: MAX_TOKENS,
             pressure: 0,
         }
     }
 
+    /// Takes this node's part of the retries that all nodes have in common.
+    ///
+    /// The parts add up to less than the whole, since nodes may differ for a
+    /// while on how many they are, and a restarted one begins with a full part.
+    pub(super) fn share(&mut self, slack: u32, nodes: u32) {
+        let whole = slack.saturating_mul(RETRY_COST) / SLACK_DIVISOR;
+        self.most = (whole / nodes.max(1)).max(RETRY_COST);
+        self.tokens = self.tokens.min(self.most);
+    }
+
     /// Adds the share of one first attempt.
     pub(super) fn deposit(&mut self, share: Share) {
-        self.tokens = (self.tokens + share.per_mille()).min(MAX_TOKENS);
+        self.tokens = (self.tokens + share.per_mille()).min(self.most);
     }
 
     /// Records whether an attempt was refused for overload.
--- a/crates/kernel/src/requests/handing/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -24,6 +24,9 @@
 
 /// Calls may be nested this deep.
 const MAX_DEPTH: u8 = 8;
+/// Part of the target latency that a request may wait for a slot before its node
+/// tries another upstream, as a divisor; the larger part is for the work itself.
+const WAIT_DIVISOR: u32 = 4;
 /// Attempt number of a first send.
 const FIRST: Attempt = Attempt::new(1);
 
@@ -47,6 +50,12 @@
     pub(super) fingerprint: Digest,
     /// VMs that were lost while they ran it.
     pub(super) casualties: Vec<VmName>,
+    /// Time within which the answer is worth most.
+    pub(super) target_latency: Option<Duration>,
+    /// Most hand-overs that may reach a target.
+    pub(super) max_attempts: u32,
+    /// Refusals by nodes whose target could take no more.
+    pub(super) refusals: usize,
     /// Hand-overs that a peer may have got.
     pub(super) attempts: u32,
     /// Upstreams that it was handed to.
@@ -55,8 +64,10 @@
     pub(super) doubt: Option<Unknown>,
     /// Whether a copy may still be on its way to a node that was left.
     pub(super) has_stray: bool,
-    /// The hand-over under way.
+    /// The latest hand-over under way.
     pub(super) current: Option<Leg>,
+    /// An earlier hand-over that makes no progress, but may still be answered.
+    pub(super) stalled: Option<Leg>,
 }
 
 /// A hand-over under way.
@@ -76,7 +87,7 @@
 
 impl Call {
     /// Routes a request and checks it against the limits of its service.
-    pub(super) fn route(cx: &Context<'_>, request: HttpRequest, draw: u64) -> Result<Self> {
+    pub(super) fn route(cx: &Context<'_>, mut request: HttpRequest, draw: u64) -> Result<Self> {
         if cx.view.is_closed() {
             return Err(NotRun::Leaving);
         }
@@ -85,15 +96,21 @@
         let service = snapshot.services.get(&kind.service);
         let service = service.ok_or(NotRun::NoRoute)?;
         let rule = service.kinds.get(&kind.kind).ok_or(NotRun::NoRoute)?;
-        let depth = headers::depth(&request);
+        let dialect = &cx.view.cfg().terms.dialect;
+        let depth = headers::depth(dialect, &request);
         if depth.get() > MAX_DEPTH {
             return Err(NotRun::TooDeep);
         }
         if request.body.len() as u64 > service.limits.body.get() {
             return Err(NotRun::TooLarge);
         }
-        let patience = headers::patience(&request).unwrap_or(Duration::MAX);
+        let patience = headers::patience(dialect, &request).unwrap_or(Duration::MAX);
+        if let Some(service) = &cx.view.cfg().terms.service {
+            headers::name_caller(dialect, &mut request, service);
+        }
         Ok(Self {
+            target_latency: rule.target_latency,
+            max_attempts: rule.attempts.unwrap_or(service.retry.attempts),
             delivery: delivery(rule.semantics, &request)?,
             deadline: cx.now.mono + rule.deadline.min(patience),
             fingerprint: fingerprint(&request),
@@ -102,10 +119,12 @@
             kind,
             depth,
             casualties: Vec::new(),
+            refusals: 0,
             attempts: 0,
             tried: Vec::new(),
             has_stray: false,
             current: None,
+            stalled: None,
         })
     }
 
@@ -127,6 +146,11 @@
         matches!(self.delivery, Delivery::Repeatable)
     }
 
+    /// Returns the wait for a slot that leaves enough of the target latency.
+    pub(super) fn local_wait(&self) -> Option<Duration> {
+        self.target_latency.map(|latency| latency / WAIT_DIVISOR)
+    }
+
     /// Marks the next hand-over of the key as a resend, after one that may
     /// still arrive.
     pub(super) fn mark_resend(&mut self) {
@@ -152,7 +176,14 @@
     }
 
     /// Makes the hand-over to an upstream.
-    pub(super) fn handover(&self, cx: &Context<'_>, upstream: &Upstream) -> Handover {
+    ///
+    /// If others are left, the upstream is to refuse what would wait for long.
+    pub(super) fn handover(
+        &self,
+        cx: &Context<'_>,
+        upstream: &Upstream,
+        has_others: bool,
+    ) -> Handover {
         Handover {
             from: cx.view.cfg().vm.clone(),
             version: cx.view.version(),
@@ -163,6 +194,7 @@
             depth: self.depth,
             fingerprint: self.fingerprint,
             casualties: self.casualties.clone(),
+            max_wait: self.local_wait().filter(|_| has_others),
             request: self.request.clone(),
         }
     }
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -23,6 +23,7 @@
 use self::call::Leg;
 use self::pace::Pace;
 use self::peer_load::PeerLoad;
+use self::retry::MAX_REFUSALS;
 use crate::NotRun;
 use crate::Reply;
 use crate::ReplyOutcome;
@@ -110,8 +111,9 @@
     fn begin(&mut self, cx: &mut Context<'_>, id: CallId, mut call: Call) {
         call.casualties = cx.suspicions.casualties(&call.fingerprint);
         if let Some(service) = cx.view.service(&call.kind.service) {
-            let share = service.retry.budget;
-            self.budget(&call).deposit(share);
+            let terms = cx.view.cfg().terms.retry;
+            let share = terms.share.unwrap_or(service.retry.budget);
+            self.budget(cx, &call).deposit(share);
         }
         let now = cx.now.mono;
         if let Some(retry_after) = cx.suspicions.hold_off(now, &call.fingerprint) {
@@ -126,7 +128,7 @@
 
     /// Gives up a call whose caller has gone.
     pub(super) fn cancelled(&mut self, cx: &mut Context<'_>, id: CallId) {
-        if let Some(leg) = self.close(cx, id) {
+        for leg in self.close(cx, id) {
             self.balancer.abandoned(&leg);
         }
     }
@@ -134,7 +136,7 @@
     /// Answers the calls whose deadline has passed, and leaves those that stall.
     pub(super) fn expire(&mut self, cx: &mut Context<'_>) {
         while let Some(id) = self.deadlines.pop(cx.now.mono) {
-            if let Some(leg) = self.close(cx, id) {
+            for leg in self.close(cx, id) {
                 self.blame(cx, &leg);
             }
             self.answer(cx, id, retry::unknown_answer(Unknown::Deadline));
@@ -144,17 +146,18 @@
 
     /// Takes the reply to a hand-over.
     pub(super) fn replied(&mut self, cx: &mut Context<'_>, exchange: ExchangeId, reply: Reply) {
-        let Some((id, call, leg)) = self.take(exchange) else {
+        let Some((id, mut call, leg)) = self.take(exchange) else {
             return;
         };
         self.balancer.replied(cx, &leg, &reply);
-        self.budget(&call).observe(is_overload(&reply.outcome));
+        self.budget(cx, &call).observe(is_overload(&reply.outcome));
         match reply.outcome {
             ReplyOutcome::Answered(response) => {
                 cx.suspicions.clear(&call.fingerprint);
                 if !headers::is_failure(&response) {
                     self.pace.observe(&call.kind, cx.now.mono - leg.since);
                 }
+                self.abandon_stalled(cx, &mut call);
                 self.answer(cx, id, Answer::Whole(response));
             }
             ReplyOutcome::NotRun {
@@ -186,14 +189,16 @@
             self.answer(cx, id, answer);
             return;
         };
-        let handover = call.handover(cx, &upstream);
+        let is_retry = !call.tried.is_empty();
+        call.tried.push(upstream.name.clone());
+        let has_others = call.refusals + 1 < MAX_REFUSALS && self.balancer.has_other(cx, &call);
+        let handover = call.handover(cx, &upstream, has_others);
         let exchange = cx.send(&upstream, Box::new(handover).into(), call.deadline);
         let now = cx.now.mono;
         let stall_after = self.pace.stall_after(&call.kind, call.deadline - now);
         self.stalls.set(id, now + stall_after);
-        self.retries += u64::from(!call.tried.is_empty());
+        self.retries += u64::from(is_retry);
         call.attempts += 1;
-        call.tried.push(upstream.name.clone());
         call.current = Some(Leg {
             exchange,
             since: now,
@@ -205,12 +210,16 @@
         self.calls.insert(id, call);
     }
 
-    fn budget(&mut self, call: &Call) -> &mut Budget {
-        self.budget_of(&call.kind.service)
+    fn budget(&mut self, cx: &Context<'_>, call: &Call) -> &mut Budget {
+        self.budget_of(cx, &call.kind.service)
     }
 
-    fn budget_of(&mut self, service: &ServiceName) -> &mut Budget {
-        self.budgets.entry(service.clone()).or_default()
+    fn budget_of(&mut self, cx: &Context<'_>, service: &ServiceName) -> &mut Budget {
+        let budget = self.budgets.entry(service.clone()).or_default();
+        if let Some(slack) = cx.view.cfg().terms.retry.slack {
+            budget.share(slack, cx.view.node_count());
+        }
+        budget
     }
 
     /// Blames an upstream for a deadline that passed, unless this process was
@@ -223,21 +232,41 @@
         }
     }
 
+    /// Takes a call whose hand-over has ended, with that hand-over.
     fn take(&mut self, exchange: ExchangeId) -> Option<(CallId, Call, Leg)> {
         let id = self.exchanges.remove(&exchange)?;
         self.stalls.cancel(id);
         let mut call = self.calls.remove(&id)?;
+        let is_ended = |leg: &mut Leg| leg.exchange == exchange;
+        if let Some(leg) = call.stalled.take_if(is_ended) {
+            call.stalled = call.current.take();
+            return Some((id, call, leg));
+        }
         let leg = call.current.take()?;
         Some((id, call, leg))
     }
 
-    fn close(&mut self, cx: &mut Context<'_>, id: CallId) -> Option<Leg> {
+    /// Ends a call; returns its hand-overs.
+    fn close(&mut self, cx: &mut Context<'_>, id: CallId) -> Vec<Leg> {
         self.deadlines.cancel(id);
         self.stalls.cancel(id);
-        let leg = self.calls.remove(&id)?.current?;
-        self.exchanges.remove(&leg.exchange);
-        cx.abandon(leg.exchange, leg.is_local);
-        Some(leg)
+        let call = self.calls.remove(&id);
+        let legs = call.map(|call| [call.current, call.stalled]);
+        let legs: Vec<_> = legs.into_iter().flatten().flatten().collect();
+        for leg in &legs {
+            self.exchanges.remove(&leg.exchange);
+            cx.abandon(leg.exchange, leg.is_local);
+        }
+        legs
+    }
+
+    /// Gives up the hand-over that another was faster than.
+    fn abandon_stalled(&mut self, cx: &mut Context<'_>, call: &mut Call) {
+        if let Some(leg) = call.stalled.take() {
+            self.exchanges.remove(&leg.exchange);
+            cx.abandon(leg.exchange, leg.is_local);
+            self.balancer.failed(cx.now.mono, &leg);
+        }
     }
 
     fn answer(&mut self, cx: &mut Context<'_>, call: CallId, answer: Answer) {
--- a/crates/kernel/src/requests/handing/peer_load.rs
+++ b/crates/kernel/src/requests/handing/peer_load.rs
@@ -10,6 +10,8 @@
 
 /// Age at which a report says nothing any more of the work in flight.
 const REPORT_HORIZON: Duration = Duration::from_secs(1);
+/// Service time that is assumed before the first report.
+const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(20);
 /// First time for which a failing upstream is avoided.
 const MIN_PENALTY: Duration = Duration::from_millis(200);
 /// Longest time for which a failing upstream is avoided.
@@ -99,6 +101,36 @@
         self.outstanding < share && self.ratio(now, cold) < 1_000
     }
 
+    /// Returns how long one more request would wait for a slot.
+    pub(super) fn wait(&self, now: Time, cold: u32) -> Duration {
+        let limit = u64::from(self.limit(cold));
+        let over = (self.ratio(now, cold) + 1_000 / limit).saturating_sub(1_000);
+        let over = u32::try_from(over).unwrap_or(u32::MAX);
+        let queued = self.service_time().saturating_mul(over) / 1_000;
+        let fresh = u32::try_from(self.freshness(now)).unwrap_or(0);
+        match self.report.phase {
+            Phase::Warm => queued,
+            _ => queued.max(self.report.wait * fresh / 1_000),
+        }
+    }
+
+    /// Returns the expected time to the end of one more request, with a part for
+    /// the slots in use: a target slows down as it fills up.
+    pub(super) fn cost(&self, now: Time, cold: u32) -> Duration {
+        let used = u32::try_from(self.ratio(now, cold).min(1_000)).unwrap_or(1_000);
+        let run = self.service_time() * (1_000 + used) / 1_000;
+        run + self.wait(now, cold)
+    }
+
+    fn service_time(&self) -> Duration {
+        let told = self.report.service_time;
+        if told.is_zero() {
+            ASSUMED_SERVICE_TIME
+        } else {
+            told
+        }
+    }
+
     /// Returns in thousandths how far the report can be believed.
     fn freshness(&self, now: Time) -> u64 {
         let Some(at) = self.reported_at else {
--- a/crates/kernel/src/requests/handing/poison.rs
+++ b/crates/kernel/src/requests/handing/poison.rs
@@ -11,6 +11,7 @@
 use crate::Handover;
 use crate::MemberState;
 use crate::Unknown;
+use crate::requests::CrashEvidence;
 use crate::requests::context::Context;
 use crate::requests::suspicions::MAX_CASUALTIES;
 
@@ -24,6 +25,9 @@
 pub(super) fn record_loss(cx: &mut Context<'_>, call: &mut Call, leg: &Leg, reason: Unknown) {
     let is_target = reason == Unknown::TargetLost;
     let is_node = reason == Unknown::PeerLost && cx.view.member(&leg.vm) != MemberState::Alive;
+    if cx.view.cfg().terms.crash_evidence == CrashEvidence::LostTarget {
+        return;
+    }
     if !call.casualties.contains(&leg.vm) {
         call.casualties.push(leg.vm.clone());
     }
@@ -62,6 +66,6 @@
         delivery: Delivery::Repeatable,
         remaining: Duration::ZERO,
         request: HttpRequest::default(),
-        ..call.handover(cx, upstream)
+        ..call.handover(cx, upstream, false)
     }
 }
--- a/crates/kernel/src/requests/handing/retry.rs
+++ b/crates/kernel/src/requests/handing/retry.rs
@@ -15,16 +15,23 @@
 use crate::requests::Progress;
 use crate::requests::context::Context;
 
+/// Nodes that may refuse one request for load before its caller is refused; more
+/// of them would take longer to ask than a caller takes to come back.
+pub(super) const MAX_REFUSALS: usize = 4;
+
 impl Handing {
     /// Goes on after a true refusal: to another upstream, within the budget.
     pub(super) fn refused(
         &mut self,
         cx: &mut Context<'_>,
         id: CallId,
-        mut call: Call,
+        call: Call,
         refusal: (NotRun, Duration),
     ) {
         let (reason, retry_after) = refusal;
+        let Some(mut call) = self.fall_back(id, call) else {
+            return;
+        };
         if call.settles() && speaks_of_key(reason) {
             call.doubt = None;
         }
@@ -32,6 +39,14 @@
         if is_placement(reason) {
             call.attempts -= 1;
             self.hand_over(cx, id, call, answer);
+        } else if cx.view.cfg().terms.retry.counts_arrivals && is_full(reason) {
+            call.attempts -= 1;
+            call.refusals += 1;
+            if call.refusals < MAX_REFUSALS {
+                self.hand_over(cx, id, call, answer);
+            } else {
+                self.answer(cx, id, answer);
+            }
         } else if is_final(reason) || !self.may_retry(cx, &call) {
             self.answer(cx, id, answer);
         } else {
@@ -44,10 +59,13 @@
         &mut self,
         cx: &mut Context<'_>,
         id: CallId,
-        mut call: Call,
+        call: Call,
         leg: &Leg,
         progress: Progress,
     ) {
+        let Some(mut call) = self.fall_back(id, call) else {
+            return;
+        };
         if progress == Progress::NeverSent {
             call.attempts -= 1;
             let answer = refusal_answer(&call, NotRun::NoUpstream, RETRY_AFTER);
@@ -64,10 +82,13 @@
         &mut self,
         cx: &mut Context<'_>,
         id: CallId,
-        mut call: Call,
+        call: Call,
         leg: &Leg,
         reason: Unknown,
     ) {
+        let Some(mut call) = self.fall_back(id, call) else {
+            return;
+        };
         call.doubt = Some(reason);
         if matches!(reason, Unknown::TargetLost | Unknown::PeerLost) {
             poison::record_loss(cx, &mut call, leg, reason);
@@ -91,7 +112,7 @@
         call.mark_resend();
         let answer = unknown_answer(Unknown::PeerLost);
         let is_dead = cx.view.member(&leg.vm) == MemberState::Dead;
-        if is_dead || call.attempts >= max_attempts(cx, &call) {
+        if is_dead || call.attempts >= call.max_attempts {
             self.answer(cx, id, answer);
         } else {
             self.hand_over(cx, id, call, answer);
@@ -103,18 +124,12 @@
     /// In a chain of calls only the first node retries, or retries multiply.
     fn may_retry(&mut self, cx: &Context<'_>, call: &Call) -> bool {
         call.depth.get() == 0
-            && call.attempts < max_attempts(cx, call)
+            && call.attempts < call.max_attempts
             && cx.now.mono < call.deadline
-            && self.budget(call).withdraw()
+            && self.budget(cx, call).withdraw()
     }
 }
 
-/// Returns how many hand-overs a call may have.
-pub(super) fn max_attempts(cx: &Context<'_>, call: &Call) -> u32 {
-    let service = cx.view.service(&call.kind.service);
-    service.map_or(1, |s| s.retry.attempts)
-}
-
 /// Makes the answer to a call that was refused.
 pub(super) fn refusal_answer(call: &Call, reason: NotRun, retry_after: Duration) -> Answer {
     match call.doubt {
@@ -142,6 +157,7 @@
         NotRun::Overloaded
             | NotRun::ColdStart
             | NotRun::TargetDown
+            | NotRun::Shed
             | NotRun::Deadline
             | NotRun::KeyReused
     )
@@ -162,6 +178,14 @@
     )
 }
 
+/// Tells whether a node refused a request because its target can take no more.
+const fn is_full(reason: NotRun) -> bool {
+    matches!(
+        reason,
+        NotRun::Overloaded | NotRun::ColdStart | NotRun::TargetDown
+    )
+}
+
 /// Tells whether other upstreams would refuse the request as well.
 const fn is_final(reason: NotRun) -> bool {
     matches!(
--- a/crates/kernel/src/requests/handing/stall.rs
+++ b/crates/kernel/src/requests/handing/stall.rs
@@ -39,10 +39,11 @@
         }
     }
 
-    /// Leaves a hand-over for another upstream, if there is one in order.
+    /// Tries another upstream beside one that makes no progress, if there is one
+    /// in order.
     ///
-    /// An idempotent call is retried within the budget, a keyed one is judged,
-    /// and any other waits for its deadline.
+    /// An idempotent call is retried within the budget, and the first answer
+    /// counts. A keyed one is judged, and any other waits for its deadline.
     fn leave(&mut self, cx: &mut Context<'_>, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
@@ -50,7 +51,7 @@
         let has_other = self.balancer.has_sound(cx, call);
         let is_keyed = call.key().is_some();
         let may_go = is_keyed || call.is_repeatable();
-        if !has_other || !may_go || !self.may_leave(cx, id) {
+        if call.stalled.is_some() || !has_other || !may_go || !self.may_leave(cx, id) {
             return;
         }
         let exchange = self.calls.get(&id).and_then(|c| c.current.as_ref());
@@ -58,22 +59,36 @@
         else {
             return;
         };
-        cx.abandon(leg.exchange, leg.is_local);
-        self.balancer.failed(cx.now.mono, &leg);
-        call.doubt = Some(Unknown::PeerLost);
         if is_keyed {
+            cx.abandon(leg.exchange, leg.is_local);
+            self.balancer.failed(cx.now.mono, &leg);
             call.mark_resend();
+        } else {
+            self.exchanges.insert(leg.exchange, id);
+            call.stalled = Some(leg);
         }
+        call.doubt = Some(Unknown::PeerLost);
         self.hand_over(cx, id, call, retry::unknown_answer(Unknown::PeerLost));
     }
 
+    /// Goes back to waiting for a stalled hand-over after a later one brought no
+    /// answer; returns the call if there is none.
+    pub(super) fn fall_back(&mut self, id: CallId, mut call: Call) -> Option<Call> {
+        let Some(stalled) = call.stalled.take() else {
+            return Some(call);
+        };
+        call.current = Some(stalled);
+        self.calls.insert(id, call);
+        None
+    }
+
     fn may_leave(&mut self, cx: &Context<'_>, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
         let kind = call.kind.clone();
-        call.attempts < retry::max_attempts(cx, call)
+        call.attempts < call.max_attempts
             && (call.key().is_some() || call.depth.get() == 0)
-            && self.budget_of(&kind.service).withdraw()
+            && self.budget_of(cx, &kind.service).withdraw()
     }
 }
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -15,6 +15,7 @@
 mod section;
 mod status;
 mod suspicions;
+mod terms;
 mod timers;
 mod view;
 
@@ -34,6 +35,7 @@
 pub use self::event::Answer;
 pub use self::event::CallId;
 pub use self::event::ExchangeId;
+pub use self::event::Health;
 pub use self::event::InboundId;
 pub use self::event::Outcome;
 pub use self::event::Progress;
@@ -53,6 +55,10 @@
 use self::lifecycle::Stage;
 pub use self::status::RequestsStatus;
 use self::suspicions::Suspicions;
+pub use self::terms::ColdStartTerms;
+pub use self::terms::CrashEvidence;
+pub use self::terms::RetryTerms;
+pub use self::terms::Terms;
 use self::view::View;
 use crate::MemberState;
 
@@ -67,6 +73,8 @@
     pub incarnation: Incarnation,
     /// Seed of all random choices.
     pub seed: u64,
+    /// What the platform demands.
+    pub terms: Terms,
 }
 
 /// Time after the begin of a drain in which new calls are handed to other nodes.
@@ -83,6 +91,8 @@
     counters: RequestCounters,
     wake_at: Option<Time>,
     stage: Stage,
+    /// Time of the latest event.
+    latest: Time,
 }
 
 impl Requests {
@@ -101,6 +111,8 @@
     ///     zone: "glasgow".parse()?,
     ///     incarnation: Incarnation(1),
     ///     seed: 1,
+    ///     terms: celeryshore_kernel::Terms::default(),
+    ///     terms: Terms::default(),
     /// };
     /// let requests = Requests::new(cfg, Now::default());
     /// # let _ = requests;
@@ -120,6 +132,7 @@
             counters: RequestCounters::default(),
             wake_at: None,
             stage: Lifecycle::new(now.mono).into(),
+            latest: now.mono,
         }
     }
 
@@ -144,6 +157,7 @@
     /// #     zone: "glasgow".parse()?,
     /// #     incarnation: Incarnation(1),
     /// #     seed: 1,
+    /// #     terms: celeryshore_kernel::Terms::default(),
     /// # };
     /// # let mut requests = Requests::new(cfg, Now::default());
     /// let event = RequestEvent::Arrived {
@@ -160,6 +174,7 @@
     /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
         let earlier = actions.len();
+        self.latest = now.mono;
         self.freeze.observe(now.mono, self.wake_at);
         self.prepare(now, &event);
         if self.wake_at.is_some_and(|at| at <= now.mono) {
@@ -188,7 +203,7 @@
     fn settle(&mut self, actions: &mut Vec<RequestAction>) {
         let due = [
             self.sides.handing.next_due(),
-            self.sides.admitting.next_due(),
+            self.sides.admitting.next_due(self.latest),
         ];
         let wake_at = due.into_iter().flatten().min();
         if let Some(at) = wake_at.filter(|_| wake_at != self.wake_at) {
--- a/crates/kernel/src/requests/status.rs
+++ b/crates/kernel/src/requests/status.rs
@@ -26,6 +26,7 @@
 ///     zone: "glasgow".parse()?,
 ///     incarnation: Incarnation(1),
 ///     seed: 1,
+///     terms: celeryshore_kernel::Terms::default(),
 /// };
 /// let requests = Requests::new(cfg, Now::default());
 /// assert_eq!(requests.status().calls, 0);
@@ -69,7 +70,7 @@
     /// Returns a summary for people and metrics.
     #[must_use]
     pub fn status(&self) -> RequestsStatus {
-        let admitting = self.sides.admitting.status();
+        let admitting = self.sides.admitting.status(self.latest);
         RequestsStatus {
             vm: self.view.cfg().vm.clone(),
             incarnation: self.view.cfg().incarnation,
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -178,6 +178,11 @@
         self.members.get(vm).copied().unwrap_or_default()
     }
 
+    /// Returns how many nodes there are.
+    pub(super) fn node_count(&self) -> u32 {
+        self.zone_sizes.values().sum()
+    }
+
     /// Returns how many nodes lie in a zone.
     pub(super) fn zone_size(&self, zone: &ZoneName) -> u32 {
         self.zone_sizes.get(zone).copied().unwrap_or_default()
--- a/crates/kernel/tests/balancing.rs
+++ b/crates/kernel/tests/balancing.rs
@@ -166,8 +166,8 @@
         &snapshot, "glasgow",
     )));
     refresh(&mut mesh, "vm-1", 2);
-    mesh.call("vm-1", stock());
     mesh.advance(900);
+    mesh.call("vm-1", stock());
     let run = mesh.runs[0].clone();
     mesh.finish(&run, Outcome::Answered(response(200, "")));
     mesh.advance(900);
--- a/crates/kernel/tests/common/deployment.rs
+++ b/crates/kernel/tests/common/deployment.rs
@@ -9,9 +9,11 @@
 use celeryshore_model::Digest;
 use celeryshore_model::Header;
 use celeryshore_model::HttpRequest;
+use celeryshore_model::Incarnation;
 use celeryshore_model::Index;
 use celeryshore_model::Kind;
 use celeryshore_model::Limits;
+use celeryshore_model::Priority;
 use celeryshore_model::RetryPolicy;
 use celeryshore_model::Route;
 use celeryshore_model::RouteMatch;
@@ -21,6 +23,7 @@
 use celeryshore_model::Slots;
 use celeryshore_model::Snapshot;
 use celeryshore_model::Upstream;
+use celeryshore_model::UpstreamState;
 use celeryshore_model::VmName;
 use celeryshore_model::WallTime;
 use celeryshore_model::Zone;
@@ -145,6 +148,7 @@
         limits: Limits {
             slots: Slots::new(6),
             cold_slots: Slots::new(2),
+            cold_start: None,
             queue: Slots::new(4),
             connections: Slots::new(110),
             body: ByteSize::new(1_024),
@@ -155,6 +159,7 @@
         },
         kinds: kinds.into_iter().map(|k| (k.name.clone(), k)).collect(),
         upstreams: Vec::new(),
+        health: None,
     }
 }
 
@@ -163,6 +168,9 @@
         name: name.parse().expect("a kind"),
         semantics,
         deadline: Duration::from_millis(DEADLINE),
+        priority: Priority::default(),
+        target_latency: None,
+        attempts: None,
     }
 }
 
@@ -176,6 +184,9 @@
         zone: zone.parse().expect("a zone"),
         peer: addr,
         control: addr,
+        slots: None,
+        life: Incarnation::default(),
+        state: UpstreamState::Serving,
     }
 }
 
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -134,6 +134,7 @@
             zone: zone.parse().expect("a zone"),
             incarnation: Incarnation(self.latest),
             seed: self.latest,
+            terms: celeryshore_kernel::Terms::default(),
         };
         let node = Node {
             requests: Requests::new(cfg, self.now),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Ok::<(), celeryshore_model::Error>(())
 //! ```
 
+mod dialect;
 mod digest;
 mod error;
 mod http;
@@ -25,6 +26,7 @@
 mod unit;
 mod version;
 
+pub use crate::dialect::Dialect;
 pub use crate::digest::Digest;
 pub use crate::error::Category;
 pub use crate::error::Error;
@@ -39,6 +41,8 @@
 pub use crate::name::UpstreamName;
 pub use crate::name::VmName;
 pub use crate::name::ZoneName;
+pub use crate::snapshot::CallerLimits;
+pub use crate::snapshot::ColdStart;
 pub use crate::snapshot::Kind;
 pub use crate::snapshot::KindId;
 pub use crate::snapshot::Limits;
@@ -51,6 +55,7 @@
 pub use crate::snapshot::Snapshot;
 pub use crate::snapshot::Split;
 pub use crate::snapshot::Upstream;
+pub use crate::snapshot::UpstreamState;
 pub use crate::snapshot::Zone;
 pub use crate::time::Now;
 pub use crate::time::Time;
@@ -58,6 +63,8 @@
 pub use crate::unit::Attempt;
 pub use crate::unit::ByteSize;
 pub use crate::unit::Depth;
+pub use crate::unit::Priority;
+pub use crate::unit::Rate;
 pub use crate::unit::Share;
 pub use crate::unit::Slots;
 pub use crate::unit::Weight;
--- a/crates/model/src/snapshot.rs
+++ b/crates/model/src/snapshot.rs
@@ -10,7 +10,10 @@
 use serde::Serialize;
 
 use crate::ByteSize;
+use crate::Incarnation;
 use crate::KindName;
+use crate::Priority;
+use crate::Rate;
 use crate::RouteName;
 use crate::ServiceName;
 use crate::Share;
@@ -36,6 +39,21 @@
     pub routes: Vec<Route>,
     /// Zones and VMs that operators have taken out of service.
     pub outages: Outages,
+    /// What callers may send; the settings of the node if absent.
+    pub callers: Option<CallerLimits>,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct CallerLimits {
+    /// Longest header of a request.
+    pub header: ByteSize,
+    /// Longest body of a request.
+    pub body: ByteSize,
+    /// Time from the first byte of a header to its end.
+    pub header_timeout: Duration,
+    /// Time after which a connection without a request is closed.
+    pub idle: Duration,
 }
 
 impl Snapshot {
@@ -83,6 +101,8 @@
     pub kinds: BTreeMap<KindName, Kind>,
     /// Upstreams in the order of their names.
     pub upstreams: Vec<UpstreamName>,
+    /// Path at which its targets tell their health; the node's setting if absent.
+    pub health: Option<String>,
 }
 
 /// What one target can bear.
@@ -92,6 +112,8 @@
     pub slots: Slots,
     /// Requests that a target in cold start runs at one time.
     pub cold_slots: Slots,
+    /// What a target in cold start bears, where that is a rate.
+    pub cold_start: Option<ColdStart>,
     /// Requests that may wait for a slot.
     pub queue: Slots,
     /// Connections that the target accepts.
@@ -100,6 +122,15 @@
     pub body: ByteSize,
 }
 
+/// Cold start of a target that bears a rate of requests until it is warm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct ColdStart {
+    /// Most requests in any one second.
+    pub rate: Rate,
+    /// How long a target is cold after its start.
+    pub span: Duration,
+}
+
 /// When a request may be sent again by the mesh itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct RetryPolicy {
@@ -131,6 +162,12 @@
     pub semantics: Semantics,
     /// Time from arrival at the first node to the answer.
     pub deadline: Duration,
+    /// Rank among the kinds of all services.
+    pub priority: Priority,
+    /// Time within which an answer is worth most to its caller.
+    pub target_latency: Option<Duration>,
+    /// Most targets that one request may be sent to; the service's policy if absent.
+    pub attempts: Option<u32>,
 }
 
 /// A request kind, named across services.
@@ -158,6 +195,26 @@
     pub peer: SocketAddr,
     /// Where its node serves the configuration to other nodes (gRPC).
     pub control: SocketAddr,
+    /// Requests that this target runs at one time, where it differs from the
+    /// service's limits.
+    pub slots: Option<Slots>,
+    /// Life of the target; a later start under the same name has another.
+    pub life: Incarnation,
+    /// Whether the target takes new work.
+    pub state: UpstreamState,
+}
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UpstreamState {
+    /// It takes new work.
+    #[default]
+    #[display("serving")]
+    Serving,
+    /// It finishes what it has and ends.
+    #[display("leaving")]
+    Leaving,
 }
 
 /// A route: which requests go to which service as which kind.
--- a/crates/node/src/callers/answer.rs
+++ b/crates/node/src/callers/answer.rs
@@ -5,16 +5,13 @@
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::NotRun;
 use celeryshore_kernel::Unknown;
+use celeryshore_model::Dialect;
 use celeryshore_model::Header;
 use celeryshore_model::HttpResponse;
 
 use crate::Result;
 use crate::http;
 
-/// Field that tells the three outcomes apart.
-pub(super) const OUTCOME: &str = "celeryshore-outcome";
-/// Field that says why there is no answer of the target.
-pub(super) const REASON: &str = "celeryshore-reason";
 pub(super) const NOT_RUN: &str = "not-run";
 pub(super) const ANSWERED: &str = "answered";
 pub(super) const UNKNOWN: &str = "unknown";
@@ -24,26 +21,32 @@
 /// Writes the HTTP answer that a caller gets.
 ///
 /// A target's answer that cannot be written ends as unknown, since it ran.
-pub(super) async fn encode(answer: Answer, method: &[u8], closes: bool) -> Result<Vec<u8>> {
+pub(super) async fn encode(
+    answer: Answer,
+    dialect: &Dialect,
+    method: &[u8],
+    closes: bool,
+) -> Result<Vec<u8>> {
     const LOST: Answer = Answer::Unknown {
         reason: Unknown::TargetLost,
         retry_after: Duration::ZERO,
     };
-    let written = http::encode_response(&response(answer), method, closes).await;
+    let written = http::encode_response(&response(answer, dialect), method, closes).await;
     match written {
         Ok(bytes) => Ok(bytes),
-        Err(_) => http::encode_response(&response(LOST), method, closes).await,
+        Err(_) => http::encode_response(&response(LOST, dialect), method, closes).await,
     }
 }
 
-fn response(answer: Answer) -> HttpResponse {
+fn response(answer: Answer, dialect: &Dialect) -> HttpResponse {
     match answer {
-        Answer::Whole(response) => whole(response),
+        Answer::Whole(response) => whole(response, dialect),
         Answer::NotRun {
             reason,
             retry_after,
         } => refusal(
-            not_run_status(reason),
+            dialect,
+            not_run_status(dialect, reason),
             NOT_RUN,
             reason.to_string(),
             retry_after,
@@ -52,6 +55,7 @@
             reason,
             retry_after,
         } => refusal(
+            dialect,
             unknown_status(reason),
             UNKNOWN,
             reason.to_string(),
@@ -60,27 +64,32 @@
     }
 }
 
-fn whole(mut response: HttpResponse) -> HttpResponse {
-    let own = |h: &Header| h.name == OUTCOME || h.name == REASON;
-    response.headers.retain(|h| !own(h));
-    response.headers.push(Header::new(OUTCOME, ANSWERED));
+fn whole(mut response: HttpResponse, dialect: &Dialect) -> HttpResponse {
+    let own = [&dialect.outcome, &dialect.reason];
+    let is_own = |h: &Header| own.iter().any(|name| name.as_ref() == Some(&h.name));
+    response.headers.retain(|h| !is_own(h));
+    if let Some(name) = &dialect.outcome {
+        response.headers.push(Header::new(name.clone(), ANSWERED));
+    }
     response
 }
 
 fn refusal(
+    dialect: &Dialect,
     status: u16,
     outcome: &'static str,
     reason: String,
     retry_after: Duration,
 ) -> HttpResponse {
-    let mut headers = vec![Header::new(OUTCOME, outcome), Header::new(REASON, reason)];
+    let mut headers = Vec::new();
+    if let Some(name) = &dialect.outcome {
+        headers.push(Header::new(name.clone(), outcome));
+    }
+    if let Some(name) = &dialect.reason {
+        headers.push(Header::new(name.clone(), reason));
+    }
     if !retry_after.is_zero() {
-        let secs = retry_after.as_millis().div_ceil(1_000);
-        headers.push(Header::new(RETRY_AFTER, secs.to_string()));
-        headers.push(Header::new(
-            RETRY_AFTER_MS,
-            retry_after.as_millis().to_string(),
-        ));
+        headers.extend(come_back(dialect, retry_after));
     }
     HttpResponse {
         status,
@@ -89,8 +98,24 @@
     }
 }
 
-fn not_run_status(reason: NotRun) -> u16 {
+/// Tells when to come back, as exactly as callers can read it.
+fn come_back(dialect: &Dialect, retry_after: Duration) -> Vec<Header> {
+    let millis = retry_after.as_millis();
+    if dialect.has_fractions {
+        let secs = format!("{:.3}", retry_after.as_secs_f64());
+        return vec![Header::new(RETRY_AFTER, secs)];
+    }
+    vec![
+        Header::new(RETRY_AFTER, millis.div_ceil(1_000).to_string()),
+        Header::new(RETRY_AFTER_MS, millis.to_string()),
+    ]
+}
+
+/// Without a field of its own for the outcome, the status alone promises that
+/// the request did not run.
+fn not_run_status(dialect: &Dialect, reason: NotRun) -> u16 {
     match reason {
+        NotRun::Deadline | NotRun::TooDeep if dialect.outcome.is_none() => 503,
         NotRun::BadKey => 400,
         NotRun::NoRoute => 404,
         NotRun::KeyReused => 409,
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -11,18 +11,21 @@
 use std::time::Duration;
 
 use async_io::Async;
+use celeryshore_model::ByteSize;
+use futures_lite::AsyncWriteExt;
 
 use self::connection::serve;
 pub(crate) use self::gate::Gate;
 use self::refusal::Refusal;
 use crate::driver::Driver;
 use crate::http::Connection;
+use crate::http::MessageLimits;
 use crate::net;
+use crate::net::Stream;
 use crate::settings::SettingsLimits;
 
-/// Time that a leaving node keeps idle connections and accepts new ones, so that
-/// a request on its way is answered.
-pub(crate) const LEAVING_GRACE: Duration = Duration::from_secs(1);
+/// Longest body that the exchanges between nodes carry.
+const MAX_BODY: ByteSize = ByteSize::new(64 * 1_024 * 1_024);
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the connections of callers share.
@@ -32,6 +35,39 @@
     pub(crate) gate: Gate,
 }
 
+/// Bounds on what a caller sends now: the configuration's, else the settings'.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    message: MessageLimits,
+    /// Time from the first byte of a request to its last.
+    progress: Duration,
+    idle: Duration,
+}
+
+impl Callers {
+    fn limits(&self) -> Limits {
+        let own = &self.limits;
+        match self.driver.caller_limits() {
+            Some(limits) => Limits {
+                message: MessageLimits {
+                    header: limits.header.min(own.header),
+                    body: limits.body.min(MAX_BODY),
+                },
+                progress: limits.header_timeout.max(limits.idle),
+                idle: limits.idle,
+            },
+            None => Limits {
+                message: MessageLimits {
+                    header: own.header,
+                    body: own.body,
+                },
+                progress: own.idle,
+                idle: own.idle,
+            },
+        }
+    }
+}
+
 /// Accepts connections until the task is dropped.
 pub(crate) async fn listen(callers: Arc<Callers>, listener: Async<TcpListener>) {
     loop {
@@ -45,18 +81,18 @@
             }
             None => callers
                 .driver
-                .spawn(refuse(Connection::new(stream), Refusal::Connections)),
+                .spawn(refuse(callers.clone(), stream, Refusal::Connections)),
         }
     }
 }
 
 /// Writes a refusal and ends the connection.
-async fn refuse(conn: Connection, refusal: Refusal) {
+async fn refuse(callers: Arc<Callers>, stream: Stream, refusal: Refusal) {
     record::record_refusal(refusal);
-    let bytes = refusal.encode().await;
+    let bytes = refusal.encode(&callers.driver.dialect).await;
     let ended = async {
-        if conn.write(&bytes).await.is_ok() {
-            conn.finish().await;
+        if (&*stream).write_all(&bytes).await.is_ok() {
+            net::finish(&stream).await;
         }
     };
     net::within(REFUSAL_TIMEOUT, ended).await;
--- a/crates/node/src/callers/refusal.rs
+++ b/crates/node/src/callers/refusal.rs
@@ -1,12 +1,11 @@
 //! Answers that the callers' port gives before a request reaches the decisions.
 
+use celeryshore_model::Dialect;
 use celeryshore_model::Header;
 use celeryshore_model::HttpResponse;
 
 use crate::Error;
 use crate::callers::answer::NOT_RUN;
-use crate::callers::answer::OUTCOME;
-use crate::callers::answer::REASON;
 use crate::error::Protocol;
 use crate::http;
 
@@ -54,13 +53,16 @@
     }
 
     /// Writes the answer, after which the connection closes.
-    pub(super) async fn encode(self) -> Vec<u8> {
+    pub(super) async fn encode(self, dialect: &Dialect) -> Vec<u8> {
+        let outcome = dialect
+            .outcome
+            .iter()
+            .map(|n| Header::new(n.clone(), NOT_RUN));
+        let reason = dialect.reason.iter();
+        let reason = reason.map(|n| Header::new(n.clone(), self.to_string()));
         let response = HttpResponse {
             status: self.status(),
-            headers: vec![
-                Header::new(OUTCOME, NOT_RUN),
-                Header::new(REASON, self.to_string()),
-            ],
+            headers: outcome.chain(reason).collect(),
             body: bytes::Bytes::new(),
         };
         http::encode_response(&response, b"GET", true)
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod pull;
 mod serve;
+mod store;
 
 use std::net::TcpListener;
 use std::net::UdpSocket;
@@ -21,6 +22,7 @@
 use self::actions::Actions;
 use self::platform::Platform;
 use self::serve::Inbound;
+pub(crate) use self::store::Store;
 use crate::driver::Driver;
 use crate::settings::PlatformSettings;
 
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -71,7 +71,7 @@
         query: &ReadQuery,
         end: Instant,
     ) -> std::result::Result<ReadAnswer, ReadFailure> {
-        let response = net::until(end, get(self.address(), self.path(query)))
+        let response = net::until(end, get(self.address(), self.request(query)))
             .await
             .ok_or(ReadFailure::Timeout)?;
         let response = response.map_err(|err| failure(&err))?;
@@ -90,6 +90,14 @@
         addresses[self.current.load(Ordering::Relaxed) % addresses.len()]
     }
 
+    fn request(&self, query: &ReadQuery) -> HttpRequest {
+        HttpRequest {
+            method: Bytes::from_static(b"GET"),
+            path: self.path(query).into(),
+            ..HttpRequest::default()
+        }
+    }
+
     fn path(&self, query: &ReadQuery) -> String {
         let key = &self.settings.key;
         match query {
@@ -124,12 +132,11 @@
     }
 }
 
-async fn get(platform: SocketAddr, path: String) -> Result<HttpResponse> {
+/// Sends a request to a platform's service on a connection of its own.
+pub(super) async fn get(platform: SocketAddr, request: HttpRequest) -> Result<HttpResponse> {
     let request = HttpRequest {
-        method: Bytes::from_static(b"GET"),
         host: platform.to_string().into(),
-        path: path.into(),
-        ..HttpRequest::default()
+        ..request
     };
     let mut conn = Connection::new(net::connect(platform).await?);
     conn.write(&http::encode_request(&request).await?).await?;
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -1,5 +1,6 @@
 //! Carries events to the decisions and their actions out.
 
+mod feed;
 mod pending;
 mod wake;
 
@@ -30,6 +31,8 @@
 use celeryshore_kernel::RequestAction;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::WorkId;
+use celeryshore_model::CallerLimits;
+use celeryshore_model::Dialect;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Snapshot;
 use celeryshore_model::Time;
@@ -39,6 +42,7 @@
 use self::pending::Pending;
 use self::wake::Wake;
 use crate::clock::Clock;
+use crate::control::Store;
 use crate::peers::Peers;
 use crate::target::Target;
 use crate::target::TargetLimits;
@@ -55,6 +59,11 @@
     pub(crate) target: Arc<Target>,
     request_wake: Wake,
     fleet_wake: Wake,
+    feed_wake: Wake,
+    store: Option<Arc<Store>>,
+    examinations: (Sender<String>, Receiver<String>),
+    caller_limits: Mutex<Option<CallerLimits>>,
+    pub(crate) dialect: Dialect,
     fleet_actions: (Sender<FleetAction>, Receiver<FleetAction>),
     drained: (Sender<()>, Receiver<()>),
     state: Mutex<State>,
@@ -75,12 +84,14 @@
     pub(crate) cfg: KernelConfig,
     pub(crate) target: Target,
     pub(crate) timers: Arc<Timers>,
+    pub(crate) store: Option<Arc<Store>>,
 }
 
 impl Driver {
     pub(crate) fn new(parts: DriverParts) -> Self {
         let clock = Clock::start();
         let vm = parts.cfg.requests.vm.clone();
+        let dialect = parts.cfg.requests.terms.dialect.clone();
         let state = State {
             kernel: Kernel::new(parts.cfg, clock.now()),
             pending: Pending::default(),
@@ -96,6 +107,11 @@
             timers: parts.timers,
             request_wake: Wake::default(),
             fleet_wake: Wake::default(),
+            feed_wake: Wake::default(),
+            store: parts.store,
+            examinations: async_channel::unbounded(),
+            caller_limits: Mutex::default(),
+            dialect,
             fleet_actions: async_channel::unbounded(),
             drained: async_channel::bounded(1),
             state: Mutex::new(state),
@@ -167,6 +183,19 @@
         self.fleet_actions.1.clone()
     }
 
+    /// Returns the health paths at which the target is to be examined.
+    pub(crate) fn examinations(&self) -> Receiver<String> {
+        self.examinations.1.clone()
+    }
+
+    /// Returns what callers may send, if the configuration says so.
+    pub(crate) fn caller_limits(&self) -> Option<CallerLimits> {
+        *self
+            .caller_limits
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends ticks about requests when they are due, until the task is dropped.
     pub(crate) async fn tick_requests(self: Arc<Self>) {
         self.handle(RequestEvent::Tick);
@@ -196,6 +225,7 @@
         for action in actions.drain(..) {
             match action {
                 Action::Fleet(action) => self.carry_out_fleet(action),
+                Action::Feed(action) => self.carry_out_feed(&mut state.pending, action),
                 Action::Request(action) => self.carry_out(&mut state.pending, action),
             }
         }
@@ -214,6 +244,10 @@
 
     fn configured(&self, snapshot: &Snapshot) {
         slog::info!(self.log, "node: version in force"; "version" => %snapshot.version);
+        *self
+            .caller_limits
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = snapshot.callers;
         if let Some(limits) = target_limits(snapshot, &self.vm) {
             self.target.set_limits(limits);
         }
@@ -243,6 +277,9 @@
                 pending.add_work(work, task);
             }
             RequestAction::Abort { work } => pending.remove_work(work),
+            RequestAction::Examine { path } => {
+                let _ = self.examinations.0.try_send(path);
+            }
             // The fleet's decisions act on it.
             RequestAction::CatchUp { .. } => {}
             RequestAction::WakeAt(time) => self.request_wake.at(time),
--- a/crates/node/src/driver/pending.rs
+++ b/crates/node/src/driver/pending.rs
@@ -7,9 +7,11 @@
 use async_executor::Task;
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
+use celeryshore_kernel::CatalogAnswer;
 use celeryshore_kernel::ExchangeId;
 use celeryshore_kernel::InboundId;
 use celeryshore_kernel::PeerReply;
+use celeryshore_kernel::QuestionId;
 use celeryshore_kernel::WorkId;
 
 /// Callers and peers that wait, and tasks that can be cancelled.
@@ -20,6 +22,7 @@
     inbound: HashMap<InboundId, Sender<PeerReply>>,
     exchanges: HashMap<ExchangeId, Task<()>>,
     works: HashMap<WorkId, Task<()>>,
+    questions: HashMap<QuestionId, Sender<Box<CatalogAnswer>>>,
 }
 
 impl Pending {
@@ -57,6 +60,23 @@
         }
     }
 
+    pub(super) fn add_question(&mut self) -> (QuestionId, Receiver<Box<CatalogAnswer>>) {
+        let question = QuestionId(self.number());
+        let (tx, rx) = async_channel::bounded(1);
+        self.questions.insert(question, tx);
+        (question, rx)
+    }
+
+    pub(super) fn remove_question(&mut self, question: QuestionId) {
+        self.questions.remove(&question);
+    }
+
+    pub(super) fn answer_question(&mut self, question: QuestionId, answer: Box<CatalogAnswer>) {
+        if let Some(tx) = self.questions.remove(&question) {
+            let _ = tx.try_send(answer);
+        }
+    }
+
     pub(super) fn add_exchange(&mut self, exchange: ExchangeId, task: Task<()>) {
         self.exchanges.insert(exchange, task);
     }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -67,8 +67,8 @@
     BodyLength,
     #[display("body is shorter than its length")]
     BodyShort,
-    #[display("body has no length")]
-    BodyOpen,
+    #[display("success without the target's signature")]
+    Unsigned,
     #[display("no answer in time")]
     Timeout,
 }
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -1,7 +1,6 @@
 //! One HTTP/1.1 connection.
 
 use std::io;
-use std::net::Shutdown;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -10,12 +9,14 @@
 
 use crate::Result;
 use crate::error::Protocol;
-use crate::http::feed::Feed;
 use crate::net;
 use crate::net::Stream;
 
 const READ_BYTES: usize = 8 * 1_024;
 const END: &[u8] = b"\r\n\r\n";
+const LINE_END: &[u8] = b"\r\n";
+/// Longest line between chunks.
+const MAX_LINE_BYTES: usize = 8 * 1_024;
 
 /// Longest message that is read.
 #[derive(Clone, Copy, Debug)]
@@ -45,13 +46,9 @@
         (&*self.stream).write_all(bytes).await
     }
 
-    /// Ends the connection without a reset, which could overtake the last answer:
-    /// what the other end still sends is read and dropped.
-    pub(crate) async fn finish(mut self) {
-        let is_open = self.stream.get_ref().shutdown(Shutdown::Write).is_ok();
-        while is_open && matches!(self.fill().await, Ok(count) if count > 0) {
-            self.buf.clear();
-        }
+    /// Returns the bare connection, to write while a message is read.
+    pub(crate) fn stream(&self) -> Stream {
+        self.stream.clone()
     }
 
     /// Waits for the first byte of a message; false if the connection ends.
@@ -106,17 +103,51 @@
         Ok(self.buf.split_to(length).freeze())
     }
 
-    /// Returns the codec's input for a header alone.
-    pub(super) fn feed_head(head: Bytes) -> Feed {
-        Feed::new(head, None)
+    /// Reads a body in chunks, to the end of its trailer.
+    pub(super) async fn chunked(&mut self, limit: ByteSize) -> Result<Bytes> {
+        let mut body = BytesMut::new();
+        loop {
+            let size = chunk_size(&self.line().await?)?;
+            if body.len() as u64 + size > limit.get() {
+                return Err(Protocol::BodyLength.into());
+            }
+            if size == 0 {
+                break;
+            }
+            body.extend_from_slice(&self.body(size, limit).await?);
+            if !self.line().await?.is_empty() {
+                return Err(Protocol::Head.into());
+            }
+        }
+        while !self.line().await?.is_empty() {}
+        Ok(body.freeze())
+    }
+
+    /// Reads a body that ends with the connection. A reset is no such end.
+    pub(super) async fn rest(&mut self, limit: ByteSize) -> Result<Bytes> {
+        while self.fill().await? > 0 {
+            if self.buf.len() as u64 > limit.get() {
+                return Err(Protocol::BodyLength.into());
+            }
+        }
+        Ok(self.buf.split().freeze())
     }
 
-    /// Returns the codec's input for a header and the chunks after it. What the
-    /// codec reads ahead is lost, so this message is the connection's last.
-    pub(super) fn feed_chunked(&mut self, head: &Bytes) -> Feed {
-        let mut ready = BytesMut::from(&head[..]);
-        ready.unsplit(self.buf.split());
-        Feed::new(ready.freeze(), Some(self.stream.clone()))
+    /// Reads a line without its end.
+    async fn line(&mut self) -> Result<Bytes> {
+        loop {
+            if let Some(at) = self.buf.windows(LINE_END.len()).position(|w| w == LINE_END) {
+                let line = self.buf.split_to(at).freeze();
+                let _ = self.buf.split_to(LINE_END.len());
+                return Ok(line);
+            }
+            if self.buf.len() > MAX_LINE_BYTES {
+                return Err(Protocol::HeadLength.into());
+            }
+            if self.fill().await? == 0 {
+                return Err(Protocol::BodyShort.into());
+            }
+        }
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
@@ -137,6 +168,17 @@
     }
 }
 
+/// Reads the size of a chunk; extensions mean nothing here.
+fn chunk_size(line: &[u8]) -> Result<u64> {
+    let text = std::str::from_utf8(line).map_err(|_| Protocol::Head)?;
+    let size = text.split(';').next().unwrap_or_default().trim_end();
+    let is_hex = !size.is_empty() && size.bytes().all(|b| b.is_ascii_hexdigit());
+    if !is_hex {
+        return Err(Protocol::Head.into());
+    }
+    Ok(u64::from_str_radix(size, 16).map_err(|_| Protocol::Head)?)
+}
+
 fn find_end(buf: &[u8], searched: usize) -> Option<usize> {
     let start = searched.saturating_sub(END.len() - 1);
     let tail = buf.get(start..)?;
--- a/crates/node/src/http/feed.rs
+++ b/crates/node/src/http/feed.rs
@@ -1,4 +1,4 @@
-//! Input of the codec: checked bytes, then the rest of a chunked body.
+//! Input of the codec: a header that was read and checked.
 
 use std::io;
 use std::pin::Pin;
@@ -13,38 +13,29 @@
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 
-use crate::net::Stream;
-
-/// Bytes that were read already, followed by those of a connection, if any.
+/// Bytes that were read already.
 #[derive(Clone)]
 pub(super) struct Feed {
     ready: Arc<Mutex<Bytes>>,
-    rest: Option<Stream>,
 }
 
 impl Feed {
-    pub(super) fn new(ready: Bytes, rest: Option<Stream>) -> Self {
+    pub(super) fn new(ready: Bytes) -> Self {
         let ready = Arc::new(Mutex::new(ready));
-        Self { ready, rest }
+        Self { ready }
     }
 }
 
 impl AsyncRead for Feed {
     fn poll_read(
         self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        _: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let mut ready = self.ready.lock().unwrap_or_else(PoisonError::into_inner);
-        if ready.has_remaining() {
-            let n = ready.remaining().min(buf.len());
-            ready.copy_to_slice(&mut buf[..n]);
-            return Poll::Ready(Ok(n));
-        }
-        match &self.rest {
-            Some(stream) => Pin::new(&mut &**stream).poll_read(cx, buf),
-            None => Poll::Ready(Ok(0)),
-        }
+        let n = ready.remaining().min(buf.len());
+        ready.copy_to_slice(&mut buf[..n]);
+        Poll::Ready(Ok(n))
     }
 }
 
--- a/crates/node/src/http/request.rs
+++ b/crates/node/src/http/request.rs
@@ -17,6 +17,7 @@
 use crate::error::Protocol;
 use crate::http::Connection;
 use crate::http::MessageLimits;
+use crate::http::feed::Feed;
 use crate::http::field;
 use crate::http::head;
 use crate::http::head::Framing;
@@ -45,15 +46,13 @@
     if head.expects_continue {
         conn.write(CONTINUE).await?;
     }
-    let closes = head.closes || head.framing == Framing::Chunked;
-    let request = match head.framing {
-        Framing::Chunked => read_chunked(conn, &text, limits.body).await?,
-        Framing::Length(length) => {
-            let body = conn.body(length, limits.body).await?;
-            decode(text, body).await?
-        }
-        Framing::Absent => decode(text, Bytes::new()).await?,
+    let body = match head.framing {
+        Framing::Chunked => conn.chunked(limits.body).await?,
+        Framing::Length(length) => conn.body(length, limits.body).await?,
+        Framing::Absent => Bytes::new(),
     };
+    let request = decode(text, body).await?;
+    let closes = head.closes;
     Ok(Some(Incoming { request, closes }))
 }
 
@@ -66,24 +65,12 @@
 }
 
 async fn decode(text: Bytes, body: Bytes) -> Result<HttpRequest> {
-    let feed = Connection::feed_head(text.clone());
+    let feed = Feed::new(text.clone());
     let decoded = Box::pin(server::decode(feed)).await?;
     let (req, _) = decoded.ok_or(Protocol::Head)?;
     to_model(&req, &text, body)
 }
 
-async fn read_chunked(conn: &mut Connection, text: &Bytes, limit: ByteSize) -> Result<HttpRequest> {
-    let decoded = Box::pin(server::decode(conn.feed_chunked(text))).await?;
-    let (mut req, _) = decoded.ok_or(Protocol::Head)?;
-    let mut body = Vec::new();
-    let mut reader = req.take_body().into_reader().take(limit.get() + 1);
-    reader.read_to_end(&mut body).await?;
-    if body.len() as u64 > limit.get() {
-        return Err(Protocol::BodyLength.into());
-    }
-    to_model(&req, text, body.into())
-}
-
 /// Takes over a request whose path means the same to every receiver.
 fn to_model(req: &Request, text: &Bytes, body: Bytes) -> Result<HttpRequest> {
     let url = req.url();
--- a/crates/node/src/http/response.rs
+++ b/crates/node/src/http/response.rs
@@ -14,6 +14,7 @@
 use crate::error::Protocol;
 use crate::http::Connection;
 use crate::http::MessageLimits;
+use crate::http::feed::Feed;
 use crate::http::field;
 use crate::http::head::Framing;
 use crate::http::head::Head;
@@ -31,19 +32,16 @@
 ) -> Result<(HttpResponse, bool)> {
     let (text, status) = final_head(conn, limits).await?;
     let head = Head::parse(&text)?;
-    let keeps = !head.closes && head.framing != Framing::Chunked;
+    let keeps = !head.closes && head.framing != Framing::Absent;
     if is_head || status == NO_CONTENT || status == NOT_MODIFIED {
-        return Ok((decode(text, Bytes::new()).await?, keeps));
+        return Ok((decode(text, Bytes::new()).await?, !head.closes));
     }
-    let response = match head.framing {
-        Framing::Chunked => read_chunked(conn, &text, limits).await?,
-        Framing::Length(length) => {
-            let body = conn.body(length, limits.body).await?;
-            decode(text, body).await?
-        }
-        Framing::Absent => return Err(Protocol::BodyOpen.into()),
+    let body = match head.framing {
+        Framing::Chunked => conn.chunked(limits.body).await?,
+        Framing::Length(length) => conn.body(length, limits.body).await?,
+        Framing::Absent => conn.rest(limits.body).await?,
     };
-    Ok((response, keeps))
+    Ok((decode(text, body).await?, keeps))
 }
 
 /// Skips interim answers.
@@ -63,25 +61,10 @@
 }
 
 async fn decode(text: Bytes, body: Bytes) -> Result<HttpResponse> {
-    let res = Box::pin(client::decode(Connection::feed_head(text))).await?;
+    let res = Box::pin(client::decode(Feed::new(text))).await?;
     Ok(to_model(&res, body))
 }
 
-async fn read_chunked(
-    conn: &mut Connection,
-    text: &Bytes,
-    limits: MessageLimits,
-) -> Result<HttpResponse> {
-    let mut res = Box::pin(client::decode(conn.feed_chunked(text))).await?;
-    let mut body = Vec::new();
-    let mut reader = res.take_body().into_reader().take(limits.body.get() + 1);
-    reader.read_to_end(&mut body).await?;
-    if body.len() as u64 > limits.body.get() {
-        return Err(Protocol::BodyLength.into());
-    }
-    Ok(to_model(&res, body.into()))
-}
-
 fn to_model(res: &Response, body: Bytes) -> HttpResponse {
     HttpResponse {
         status: res.status().into(),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,6 @@
 //! The celeryshore process.
 
+use std::path::Path;
 use std::process::ExitCode;
 use std::thread;
 
@@ -11,8 +12,10 @@
 use celeryshore_node::Error;
 use celeryshore_node::Node;
 use celeryshore_node::Settings;
+use celeryshore_platform as _;
 use futures_lite::StreamExt;
 use futures_lite::future;
+use slog::Logger;
 
 static EXECUTOR: StaticExecutor = StaticExecutor::new();
 
@@ -43,21 +46,33 @@
         Command::Check(path) => {
             Settings::read(path)?;
         }
-        Command::Run(path) => serve(Settings::read(path)?)?,
+        Command::Run(path) => serve(&path, &Settings::read(&path)?)?,
     }
     Ok(())
 }
 
+/// Checks settings that may have changed. A node takes all of them when it starts;
+/// what changes while it runs comes by the platform.
+fn reload(path: &Path, current: &Settings, log: &Logger) {
+    match Settings::read(path) {
+        Ok(settings) if settings == *current => slog::info!(log, "node: settings unchanged"),
+        Ok(_) => slog::warn!(log, "node: settings changed, in force after a restart"),
+        Err(err) => slog::error!(log, "node: changed settings refused"; "error" => %err),
+    }
+}
+
 /// The main thread drives the reactor and runs tasks; others only run tasks.
-fn serve(settings: Settings) -> anyhow::Result<()> {
+fn serve(path: &Path, settings: &Settings) -> anyhow::Result<()> {
     let (log, _guard) = celeryshore_node::logger(settings.log);
     for _ in 1..settings.threads {
         thread::spawn(|| async_io::block_on(EXECUTOR.run(future::pending::<()>())));
     }
     async_io::block_on(EXECUTOR.run(async {
-        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-        let node = Node::start(&EXECUTOR, settings, log)?;
-        signals.next().await;
+        let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        let node = Node::start(&EXECUTOR, settings.clone(), log.clone())?;
+        while let Some(Ok(Signal::Hup)) = signals.next().await {
+            reload(path, settings, &log);
+        }
         node.drain().await;
         Ok(())
     }))
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::io::Read;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -15,7 +16,12 @@
 use futures_lite::FutureExt;
 use futures_lite::future;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time to open a connection: far more than any way within a region takes, and
+/// short enough to try elsewhere.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which the other end may still send after the last answer.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(1);
+const FINISH_BYTES: usize = 4 * 1_024;
 
 /// A TCP connection that several owners may use.
 pub(crate) type Stream = Arc<Async<TcpStream>>;
@@ -67,6 +73,21 @@
     }
 }
 
+/// Ends a connection without a reset, which could overtake the last answer: what
+/// the other end still sends is read and dropped, for a short time.
+pub(crate) async fn finish(stream: &Stream) {
+    let mut buf = BytesMut::new();
+    let drained = async {
+        if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        while matches!(read_some(stream, &mut buf, FINISH_BYTES).await, Ok(count) if count > 0) {
+            buf.clear();
+        }
+    };
+    within(FINISH_TIMEOUT, drained).await;
+}
+
 /// Runs `fut` until it is ready or the time has come.
 pub(crate) async fn until<T>(end: Instant, fut: impl Future<Output = T>) -> Option<T> {
     let done = async { Some(fut.await) };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,11 +9,18 @@
 use async_executor::Task;
 use async_io::Async;
 use async_io::Timer;
+use celeryshore_kernel::ColdStartTerms;
+use celeryshore_kernel::CrashEvidence;
+use celeryshore_kernel::FeedConfig;
 use celeryshore_kernel::FleetConfig;
 use celeryshore_kernel::KernelConfig;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::RequestsConfig;
+use celeryshore_kernel::RetryTerms;
+use celeryshore_kernel::Terms;
 use celeryshore_model::Incarnation;
+use celeryshore_model::Share;
+use celeryshore_model::Zone;
 use slog::Logger;
 
 use crate::Error;
@@ -22,10 +29,10 @@
 use crate::callers;
 use crate::callers::Callers;
 use crate::callers::Gate;
-use crate::callers::LEAVING_GRACE;
 use crate::clock::Clock;
 use crate::control;
 use crate::control::ControlPorts;
+use crate::control::Store;
 use crate::driver::Driver;
 use crate::driver::DriverParts;
 use crate::operators;
@@ -92,12 +99,16 @@
         let ports = Ports::open(&settings)?;
         let addresses = ports.addresses()?;
         let timers = Arc::new(Timers::default());
+        let store = store(&settings);
+        let cfg = kernel_config(&settings, store.as_deref());
+        let dialect = cfg.requests.terms.dialect.clone();
         let driver = Arc::new(Driver::new(DriverParts {
             ex,
             log,
-            cfg: kernel_config(&settings),
-            target: Target::new(settings.target, timers.clone()),
+            cfg,
+            target: Target::new(settings.target, timers.clone(), dialect),
             timers: timers.clone(),
+            store: store.clone(),
         }));
         let callers = Arc::new(Callers {
             driver: driver.clone(),
@@ -114,18 +125,24 @@
             ex.spawn(async move { timers.run().await }),
             ex.spawn(peers::listen(driver.clone(), ports.peer)),
             ex.spawn(peers::probe_idle(ex, driver.peers.clone())),
-            ex.spawn(operators::listen(operators, ports.operators)),
+            ex.spawn(operators::listen(operators.clone(), ports.operators)),
             ex.spawn(metrics.upkeep()),
             ex.spawn(driver.clone().tick_requests()),
-            ex.spawn(driver.clone().tick_fleet()),
-            ex.spawn(target::watch(driver.clone(), settings.health)),
         ];
-        tasks.extend(control::start(
-            ex,
-            &driver,
-            ports.control,
-            settings.platform,
-        ));
+        if let Some(store) = store {
+            tasks.push(ex.spawn(driver.clone().tick_feed()));
+            tasks.push(ex.spawn(target::examine(driver.clone())));
+            if let Some(listener) = ports.ready {
+                let path = store.adapter.ready_path();
+                tasks.push(ex.spawn(operators::listen_ready(operators, listener, path)));
+            }
+        } else {
+            tasks.push(ex.spawn(driver.clone().tick_fleet()));
+            tasks.push(ex.spawn(target::watch(driver.clone(), settings.health)));
+        }
+        if let Some(control) = ports.control {
+            tasks.extend(control::start(ex, &driver, control, settings.platform));
+        }
         Ok(Self {
             addresses,
             callers,
@@ -149,7 +166,7 @@
         slog::info!(driver.log(), "node: draining");
         self.callers.gate.close();
         driver.handle(RequestEvent::Drain);
-        Timer::after(LEAVING_GRACE).await;
+        Timer::after(self.callers.limits.leaving).await;
         driver.drained().await;
         cancel(self.accepting).await;
         self.callers.gate.emptied().await;
@@ -170,23 +187,30 @@
     callers: Async<TcpListener>,
     peer: Async<TcpListener>,
     operators: Async<TcpListener>,
-    control: ControlPorts,
+    /// Absent with an adapter, which brings the configuration another way.
+    control: Option<ControlPorts>,
+    ready: Option<Async<TcpListener>>,
 }
 
 impl Ports {
     fn open(settings: &Settings) -> Result<Self> {
         let callers = open(PortName::Callers, settings.callers)?;
         let peer = open(PortName::Peer, settings.peer)?;
-        let control = ControlPorts {
-            heartbeats: open_udp(peer.get_ref().local_addr()?)?,
-            pulls: open(PortName::Control, settings.control)?,
+        let control = match settings.platform.adapter {
+            Some(_) => None,
+            None => Some(ControlPorts {
+                heartbeats: open_udp(peer.get_ref().local_addr()?)?,
+                pulls: open(PortName::Control, settings.control)?,
+            }),
         };
+        let ready = settings.ready.map(|addr| open(PortName::Ready, addr));
         let operators = open(PortName::Operators, settings.operators)?;
         Ok(Self {
             callers,
             peer,
             operators,
             control,
+            ready: ready.transpose()?,
         })
     }
 
@@ -208,7 +232,15 @@
     Async::<UdpSocket>::bind(addr).map_err(|err| Error::bind(PortName::Peer, addr, err))
 }
 
-fn kernel_config(settings: &Settings) -> KernelConfig {
+/// Returns the store of a platform that is met through an adapter.
+fn store(settings: &Settings) -> Option<Arc<Store>> {
+    let adapter = settings.platform.adapter.as_deref()?;
+    let adapter = celeryshore_kernel::platform(adapter)?;
+    let addr = *settings.platform.addresses.first()?;
+    Some(Arc::new(Store { addr, adapter }))
+}
+
+fn kernel_config(settings: &Settings, store: Option<&Store>) -> KernelConfig {
     let incarnation = incarnation();
     let fleet = FleetConfig {
         vm: settings.vm.clone(),
@@ -225,8 +257,51 @@
         zone: settings.zone.clone(),
         incarnation,
         seed: fastrand::u64(..),
+        terms: store.map_or_else(Terms::default, |store| terms(settings, store)),
     };
-    KernelConfig { fleet, requests }
+    KernelConfig {
+        fleet,
+        feed: store.map(|store| feed_config(settings, store, incarnation)),
+        requests,
+    }
+}
+
+fn feed_config(settings: &Settings, store: &Store, incarnation: Incarnation) -> FeedConfig {
+    let zones = settings.zones.iter();
+    let zones = zones.map(|(name, region)| Zone {
+        name: name.clone(),
+        region: region.clone(),
+    });
+    FeedConfig {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        zones: zones.collect(),
+        incarnation,
+        peer_port: settings.peer.port(),
+        seeds: settings.seeds.iter().map(|seed| seed.peer).collect(),
+        adapter: store.adapter.clone(),
+        seed: fastrand::u64(..),
+    }
+}
+
+fn terms(settings: &Settings, store: &Store) -> Terms {
+    const PER_MILLE: f64 = 1_000.0;
+    let factor = settings.terms.cold_load;
+    let share = settings.terms.retry_ratio.and_then(|ratio| {
+        let per_mille = format!("{:.0}", ratio * PER_MILLE).parse().ok()?;
+        Some(Share::from_per_mille(per_mille))
+    });
+    Terms {
+        dialect: store.adapter.dialect(),
+        service: settings.service.clone(),
+        cold_start: factor.map_or_else(ColdStartTerms::default, |factor| ColdStartTerms { factor }),
+        retry: RetryTerms {
+            slack: settings.terms.retry_slack,
+            share,
+            counts_arrivals: true,
+        },
+        crash_evidence: CrashEvidence::LostTarget,
+    }
 }
 
 /// A later life has a greater number, as far as the wall clock goes forward.
--- a/crates/node/src/operators/metrics.rs
+++ b/crates/node/src/operators/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use celeryshore_kernel::Feed;
 use celeryshore_kernel::Kernel;
 use celeryshore_kernel::TrafficKind;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -13,6 +14,10 @@
 use crate::callers::Callers;
 
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+const VERSION_INDEX: &str = "celeryshore_version_index";
+const READER: &str = "celeryshore_reader";
+const SOURCE_CALLS: &str = "celeryshore_source_calls_total";
+const VIEW_AGE: &str = "celeryshore_view_age_seconds";
 /// Upper ends of the buckets of call times, in seconds.
 const CALL_BUCKETS: [f64; 12] = [
     0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
@@ -64,12 +69,16 @@
 }
 
 fn set_kernel_gauges(kernel: &Kernel) {
+    if let Some(feed) = &kernel.feed {
+        set_feed_gauges(feed);
+        return;
+    }
     let status = kernel.fleet.status();
-    metrics::gauge!("celeryshore_version_index").set(to_f64(kernel.fleet.version().index.0));
-    metrics::gauge!("celeryshore_reader").set(f64::from(u8::from(status.reader)));
-    metrics::counter!("celeryshore_source_calls_total").absolute(status.source_calls);
+    metrics::gauge!(VERSION_INDEX).set(to_f64(kernel.fleet.version().index.0));
+    metrics::gauge!(READER).set(f64::from(u8::from(status.reader)));
+    metrics::counter!(SOURCE_CALLS).absolute(status.source_calls);
     if let Some(age) = status.view_age {
-        metrics::gauge!("celeryshore_view_age_seconds").set(age.as_secs_f64());
+        metrics::gauge!(VIEW_AGE).set(age.as_secs_f64());
     }
     for (state, count) in status.members {
         metrics::gauge!("celeryshore_members", "state" => state.to_string())
@@ -80,6 +89,17 @@
     }
 }
 
+fn set_feed_gauges(feed: &Feed) {
+    let status = feed.status();
+    metrics::gauge!(VERSION_INDEX).set(to_f64(status.version.index.0));
+    metrics::gauge!(READER).set(f64::from(u8::from(status.is_reader)));
+    metrics::counter!(SOURCE_CALLS).absolute(status.store_reads);
+    metrics::gauge!("celeryshore_peers").set(to_f64(status.peers as u64));
+    if let Some(age) = status.age {
+        metrics::gauge!(VIEW_AGE).set(age.as_secs_f64());
+    }
+}
+
 fn set_traffic(kind: TrafficKind, bytes: u64) {
     metrics::counter!("celeryshore_control_sent_bytes_total", "kind" => kind.to_string())
         .absolute(bytes);
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -3,6 +3,7 @@
 mod dump;
 mod metrics;
 mod page;
+mod ready;
 mod status;
 
 use std::net::TcpListener;
@@ -18,6 +19,7 @@
 use self::dump::dump_section;
 pub(crate) use self::metrics::Metrics;
 use self::page::Page;
+pub(crate) use self::ready::listen_ready;
 use self::status::Status;
 use crate::Result;
 use crate::callers::Callers;
--- a/crates/node/src/operators/status.rs
+++ b/crates/node/src/operators/status.rs
@@ -1,5 +1,7 @@
 //! Short report of a node.
 
+use std::time::Duration;
+
 use celeryshore_kernel::Kernel;
 use celeryshore_kernel::StageKind;
 use celeryshore_model::Index;
@@ -49,18 +51,19 @@
     }
 
     fn from_kernel(kernel: &Kernel) -> Self {
-        let fleet = kernel.fleet.status();
-        let version = Some(kernel.fleet.version()).filter(|v| *v != Version::default());
         let requests = render(kernel, REQUESTS).unwrap_or_default();
-        let age = fleet.view_age.map(|age| age.as_millis());
+        let view = View::of(kernel);
+        let fleet = kernel.fleet.status();
+        let version = Some(view.version).filter(|v| *v != Version::default());
+        let age = view.age.map(|age| age.as_millis());
         Self {
             vm: fleet.vm,
             zone: fleet.zone,
             version: version.map(|v| v.to_string()),
             index: version.map(|v| v.index),
             age_ms: age.map(|ms| u64::try_from(ms).unwrap_or(u64::MAX)),
-            state: state(fleet.stage, version, &requests),
-            role: if fleet.reader {
+            state: state(view.is_learning || version.is_none(), &requests),
+            role: if view.is_reader {
                 Role::Reader
             } else {
                 Role::Follower
@@ -72,8 +75,36 @@
     }
 }
 
-fn state(stage: StageKind, version: Option<Version>, requests: &Value) -> String {
-    let is_learning = stage == StageKind::Learning || version.is_none();
+/// What the node knows of the configuration, by its feed or by the fleet.
+struct View {
+    version: Version,
+    age: Option<Duration>,
+    is_reader: bool,
+    is_learning: bool,
+}
+
+impl View {
+    fn of(kernel: &Kernel) -> Self {
+        if let Some(feed) = &kernel.feed {
+            let status = feed.status();
+            return Self {
+                version: feed.version(),
+                age: status.age,
+                is_reader: status.is_reader,
+                is_learning: false,
+            };
+        }
+        let fleet = kernel.fleet.status();
+        Self {
+            version: kernel.fleet.version(),
+            age: fleet.view_age,
+            is_reader: fleet.reader,
+            is_learning: fleet.stage == StageKind::Learning,
+        }
+    }
+}
+
+fn state(is_learning: bool, requests: &Value) -> String {
     let own = requests["stage"].as_str().unwrap_or_default();
     if is_learning && own == SERVING {
         return LEARNING.to_owned();
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Receiver;
 use async_io::Async;
+use celeryshore_kernel::CatalogRequest;
 use celeryshore_kernel::PeerReply;
 use celeryshore_kernel::PeerRequest;
 use celeryshore_wire::ReplyFrame;
@@ -62,6 +63,7 @@
     let reply = match RequestFrame::decode(frame)? {
         RequestFrame::Ping => Some(ReplyFrame::Pong),
         RequestFrame::Request(request) => decide(driver, frames, *request).await?,
+        RequestFrame::Catalog(request) => tell(driver, frames, request).await,
     };
     let Some(reply) = reply else {
         return Ok(Next::Close);
@@ -94,6 +96,25 @@
     }
 }
 
+/// Waits for what is known of the platform's store; nothing if the peer withdraws.
+async fn tell(
+    driver: &Arc<Driver>,
+    frames: &mut Frames,
+    request: CatalogRequest,
+) -> Option<ReplyFrame> {
+    let (question, answer) = driver.ask(request);
+    let answered = async { answer.recv().await.ok() };
+    let interrupted = async {
+        frames.interrupted().await;
+        None
+    };
+    let answer = answered.or(interrupted).await;
+    if answer.is_none() {
+        driver.withdraw_question(question);
+    }
+    answer.map(ReplyFrame::Catalog)
+}
+
 enum Waited {
     Replied(PeerReply),
     Interrupted,
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/outbound.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use celeryshore_kernel::CatalogAnswer;
+use celeryshore_kernel::CatalogRequest;
 use celeryshore_kernel::PeerReply;
 use celeryshore_kernel::PeerRequest;
 use celeryshore_kernel::Progress;
@@ -46,6 +48,33 @@
         deadline: Instant,
     ) -> Result<PeerReply> {
         let frame = RequestFrame::Request(Box::new(request)).encode();
+        match self.round_trip(peer, frame, deadline).await? {
+            ReplyFrame::Reply(reply) => Ok(reply),
+            _ => Err(Progress::MaybeSent),
+        }
+    }
+
+    /// Asks a peer what it knows of the platform's store.
+    pub(crate) async fn ask(
+        &self,
+        peer: SocketAddr,
+        request: CatalogRequest,
+        deadline: Instant,
+    ) -> Option<Box<CatalogAnswer>> {
+        let frame = RequestFrame::Catalog(request).encode();
+        match self.round_trip(peer, frame, deadline).await.ok()? {
+            ReplyFrame::Catalog(answer) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Sends a frame and waits for the one that ends the exchange.
+    async fn round_trip(
+        &self,
+        peer: SocketAddr,
+        frame: Bytes,
+        deadline: Instant,
+    ) -> Result<ReplyFrame> {
         let sent = self.timers.until(deadline, self.open(peer, &frame)).await;
         let (mut frames, written) = sent.ok_or(Progress::NeverSent)??;
         let rest = finish(&self.timers, &mut frames, &frame[written..]);
@@ -99,14 +128,15 @@
     timers: &Timers,
     frames: &mut Frames,
     rest: &[u8],
-) -> std::result::Result<PeerReply, Failure> {
+) -> std::result::Result<ReplyFrame, Failure> {
     let written = timers.within(PROGRESS_TIMEOUT, frames.write(rest)).await;
     written
         .ok_or(Failure::Silent)?
         .map_err(|_| Failure::Broken)?;
     loop {
-        if let ReplyFrame::Reply(reply) = next(timers, frames).await? {
-            return Ok(reply);
+        match next(timers, frames).await? {
+            ReplyFrame::Working => {}
+            reply => return Ok(reply),
         }
     }
 }
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -18,10 +18,18 @@
 pub(super) fn check(settings: &Settings) -> Result<()> {
     check_addresses(settings)?;
     check_limits(settings)?;
+    check_terms(settings)?;
     if settings.platform.addresses.is_empty() {
         return Err(Error::range("platform.addresses", "at least one address"));
     }
-    if settings.platform.key.is_empty() {
+    if let Some(name) = &settings.platform.adapter {
+        if celeryshore_kernel::platform(name).is_none() {
+            return Err(Error::range(
+                "platform.adapter",
+                "an adapter that is built in",
+            ));
+        }
+    } else if settings.platform.key.is_empty() {
         return Err(Error::range("platform.key", "the key of the rules text"));
     }
     if settings.threads == 0 || settings.threads > MAX_THREADS {
@@ -38,6 +46,8 @@
         (PortName::Operators, settings.operators),
         (PortName::Target, settings.target),
     ];
+    let ready = settings.ready.map(|addr| (PortName::Ready, addr));
+    let ports: Vec<_> = ports.into_iter().chain(ready).collect();
     for (i, (left, addr)) in ports.iter().enumerate() {
         let clash = ports[i + 1..]
             .iter()
@@ -55,6 +65,20 @@
     left.port() != 0 && left.port() == right.port() && (any || left.ip() == right.ip())
 }
 
+fn check_terms(settings: &Settings) -> Result<()> {
+    let terms = &settings.terms;
+    if terms.cold_load.is_some_and(|factor| !(factor > 0.0)) {
+        return Err(Error::range("terms.cold_load", "a factor above 0"));
+    }
+    if terms
+        .retry_ratio
+        .is_some_and(|ratio| !(0.0..=1.0).contains(&ratio))
+    {
+        return Err(Error::range("terms.retry_ratio", "a ratio from 0 to 1"));
+    }
+    Ok(())
+}
+
 fn check_limits(settings: &Settings) -> Result<()> {
     let limits = &settings.limits;
     if limits.header.get() == 0 || limits.header.get() > MAX_HEADER.get() {
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -13,6 +13,7 @@
 const DEFAULT_BODY_BYTES: u64 = 1_024 * 1_024;
 const DEFAULT_CONNECTIONS: usize = 1_024;
 const DEFAULT_IDLE: Duration = Duration::from_mins(1);
+const DEFAULT_LEAVING: Duration = Duration::from_secs(1);
 
 /// Bounds at the callers' port.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
@@ -29,6 +30,10 @@
     /// Time after which a connection without progress is closed.
     #[serde(deserialize_with = "idle")]
     pub idle: Duration,
+    /// Time that a leaving node keeps idle connections and accepts new ones, so
+    /// that a request on its way is answered.
+    #[serde(deserialize_with = "leaving")]
+    pub leaving: Duration,
 }
 
 impl Default for SettingsLimits {
@@ -38,6 +43,7 @@
             body: ByteSize::new(DEFAULT_BODY_BYTES),
             connections: DEFAULT_CONNECTIONS,
             idle: DEFAULT_IDLE,
+            leaving: DEFAULT_LEAVING,
         }
     }
 }
@@ -54,6 +60,10 @@
     named("idle", humantime::parse_duration, d)
 }
 
+fn leaving<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+    named("leaving", humantime::parse_duration, d)
+}
+
 /// Parses a value; the error names its key, which the codec leaves out.
 fn named<'de, D, T, E>(
     key: &str,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod port;
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -11,6 +12,7 @@
 use std::path::Path;
 use std::str::FromStr;
 
+use celeryshore_model::ServiceName;
 use celeryshore_model::VmName;
 use celeryshore_model::ZoneName;
 use serde::Deserialize;
@@ -46,7 +48,7 @@
 /// assert!(settings.operators.ip().is_loopback());
 /// # Ok::<(), celeryshore_node::Error>(())
 /// ```
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// VM that the node runs on.
@@ -67,6 +69,19 @@
     /// Path at which the target tells its phase.
     #[serde(default = "default_health")]
     pub health: String,
+    /// Where the platform asks whether callers may be sent here, if it does.
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
+    /// Service of the VM, where targets are told the service of their callers.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
+    /// Availability zones with their regions, where the platform does not
+    /// publish them.
+    #[serde(default)]
+    pub zones: BTreeMap<ZoneName, ZoneName>,
+    /// What the platform demands of requests.
+    #[serde(default)]
+    pub terms: SettingsTerms,
     /// The platform's service.
     pub platform: PlatformSettings,
     /// Nodes to ask first, before a configuration lists the others.
@@ -89,8 +104,28 @@
 pub struct PlatformSettings {
     /// Addresses of the platform's service; any of them will do.
     pub addresses: Vec<SocketAddr>,
-    /// Key of the rules text.
+    /// Key of the rules text; empty with an adapter, which knows its keys.
+    #[serde(default)]
     pub key: String,
+    /// Name of the adapter by which the platform is met; the product's own
+    /// interface if absent.
+    #[serde(default)]
+    pub adapter: Option<String>,
+}
+
+/// What the platform demands of requests, beyond the rules.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SettingsTerms {
+    /// Times the rate that a target in cold start bears by its own account.
+    #[serde(default)]
+    pub cold_load: Option<f64>,
+    /// Retries as a share of first attempts.
+    #[serde(default)]
+    pub retry_ratio: Option<f64>,
+    /// Retries of a service beyond that share, for all nodes together.
+    #[serde(default)]
+    pub retry_slack: Option<u32>,
 }
 
 /// A node to ask first.
@@ -99,8 +134,9 @@
 pub struct Seed {
     /// Address for hand-overs and heartbeats.
     pub peer: SocketAddr,
-    /// Address for the configuration.
-    pub control: SocketAddr,
+    /// Address for the configuration, where it is pulled by gRPC.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
 }
 
 /// Least severe level that is logged.
--- a/crates/node/src/settings/port.rs
+++ b/crates/node/src/settings/port.rs
@@ -14,6 +14,9 @@
     /// Port of the configuration.
     #[display("control")]
     Control,
+    /// Port at which the platform asks whether the node is ready.
+    #[display("ready")]
+    Ready,
     /// Operators' port.
     #[display("operators")]
     Operators,
--- a/crates/node/src/target/health.rs
+++ b/crates/node/src/target/health.rs
@@ -5,9 +5,11 @@
 use std::time::Instant;
 
 use async_io::Timer;
+use celeryshore_kernel::Health;
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::Phase;
 use celeryshore_kernel::RequestEvent;
+use celeryshore_model::Dialect;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
 use serde::Deserialize;
@@ -22,19 +24,14 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 #[derive(Deserialize)]
-struct Health {
+struct Claim {
     phase: Phase,
 }
 
 /// Asks the target for its phase again and again.
 pub(crate) async fn watch(driver: Arc<Driver>, path: String) {
     loop {
-        let request = HttpRequest {
-            method: "GET".into(),
-            host: HOST.into(),
-            path: path.clone().into(),
-            ..HttpRequest::default()
-        };
+        let request = question(path.clone());
         let outcome = driver.target.run(request, Instant::now() + TIMEOUT).await;
         if let Some(claimed) = claim(outcome) {
             driver.handle(RequestEvent::Probed { claimed });
@@ -43,6 +40,44 @@
     }
 }
 
+/// Examines the target whenever the decisions ask for it.
+pub(crate) async fn examine(driver: Arc<Driver>) {
+    let asked = driver.examinations();
+    while let Ok(path) = asked.recv().await {
+        let outcome = driver
+            .target
+            .run(question(path), Instant::now() + TIMEOUT)
+            .await;
+        let health = health(&driver.dialect, &outcome);
+        slog::info!(driver.log(), "target: examined"; "health" => ?health);
+        driver.handle(RequestEvent::Examined { health });
+    }
+}
+
+fn question(path: String) -> HttpRequest {
+    HttpRequest {
+        method: "GET".into(),
+        host: HOST.into(),
+        path: path.into(),
+        ..HttpRequest::default()
+    }
+}
+
+fn health(dialect: &Dialect, outcome: &Outcome) -> Health {
+    let response = match outcome {
+        Outcome::Answered(response) => response,
+        Outcome::NeverSent => return Health::Unreachable,
+        Outcome::Broken | Outcome::Silent => return Health::Bad,
+    };
+    if !is_success(response) {
+        return Health::Bad;
+    }
+    let cold = dialect.cold_left.as_ref().and_then(|n| response.header(n));
+    let millis = cold.and_then(|v| std::str::from_utf8(v).ok()?.trim().parse().ok());
+    let cold_for = Duration::from_millis(millis.unwrap_or(0));
+    Health::Good { cold_for }
+}
+
 /// Reads the claimed phase; a target without such an endpoint claims nothing.
 fn claim(outcome: Outcome) -> Option<Phase> {
     let Outcome::Answered(response) = outcome else {
@@ -52,8 +87,8 @@
 }
 
 fn stated(response: &HttpResponse) -> Option<Phase> {
-    let health: Health = serde_json::from_slice(&response.body).ok()?;
-    Some(health.phase)
+    let claim: Claim = serde_json::from_slice(&response.body).ok()?;
+    Some(claim.phase)
 }
 
 fn is_success(response: &HttpResponse) -> bool {
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -9,14 +9,19 @@
 
 use celeryshore_kernel::Outcome;
 use celeryshore_model::ByteSize;
+use celeryshore_model::Dialect;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
+use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
 use serde_json::Value;
 
+pub(crate) use self::health::examine;
 pub(crate) use self::health::watch;
 use self::pool::Lease;
 use self::pool::TargetPool;
 use crate::Result;
+use crate::error::Protocol;
 use crate::http;
 use crate::http::Connection;
 use crate::http::MessageLimits;
@@ -37,13 +42,15 @@
 pub(crate) struct Target {
     pool: TargetPool,
     timers: Arc<Timers>,
+    dialect: Dialect,
 }
 
 impl Target {
-    pub(crate) fn new(addr: SocketAddr, timers: Arc<Timers>) -> Self {
+    pub(crate) fn new(addr: SocketAddr, timers: Arc<Timers>, dialect: Dialect) -> Self {
         Self {
             pool: TargetPool::new(addr),
             timers,
+            dialect,
         }
     }
 
@@ -60,10 +67,9 @@
             return Outcome::NeverSent;
         };
         let conn = Connection::new(stream);
-        let is_head = request.method == "HEAD";
         let answer = self
             .timers
-            .until(deadline, self.exchange(lease, conn, &bytes, is_head))
+            .until(deadline, self.exchange(lease, conn, &bytes, &request))
             .await;
         match answer {
             Some(Ok(response)) => Outcome::Answered(response),
@@ -80,18 +86,50 @@
         lease: Lease<'_>,
         mut conn: Connection,
         bytes: &[u8],
-        is_head: bool,
+        request: &HttpRequest,
     ) -> Result<HttpResponse> {
         let limits = MessageLimits {
             header: HEADER_LIMIT,
             body: self.pool.limits().body,
         };
-        conn.write(bytes).await?;
-        let (response, keeps) = http::read_response(&mut conn, limits, is_head).await?;
-        if keeps && let Some(stream) = conn.into_idle() {
-            lease.keep(stream);
+        let is_written = write(&conn, bytes).await?;
+        let is_head = request.method == "HEAD";
+        loop {
+            let (response, keeps) = http::read_response(&mut conn, limits, is_head).await?;
+            if self.is_strange(request, &response) {
+                continue;
+            }
+            self.check_signature(request, &response)?;
+            if keeps
+                && is_written
+                && let Some(stream) = conn.into_idle()
+            {
+                lease.keep(stream);
+            }
+            return Ok(response);
+        }
+    }
+
+    /// Tells whether an answer belongs to another request, which was sent on this
+    /// connection before.
+    fn is_strange(&self, request: &HttpRequest, response: &HttpResponse) -> bool {
+        let Some(name) = &self.dialect.request_id else {
+            return false;
+        };
+        let answered = response.header(name);
+        answered.is_some() && request.header(name) != answered
+    }
+
+    /// Refuses a success that the target did not sign: something else answered.
+    fn check_signature(&self, request: &HttpRequest, response: &HttpResponse) -> Result<()> {
+        let is_success = (200..300).contains(&response.status);
+        let name = self.dialect.signature.as_ref();
+        let is_call = self.dialect.request_id.as_ref();
+        let is_call = is_call.is_some_and(|id| request.header(id).is_some());
+        if is_call && is_success && name.is_some_and(|name| response.header(name).is_none()) {
+            return Err(Protocol::Unsigned.into());
         }
-        Ok(response)
+        Ok(())
     }
 
     /// Describes the connections for the state dump.
@@ -99,3 +137,18 @@
         self.pool.dump()
     }
 }
+
+/// Writes a request, unless the answer begins before its end; tells whether all
+/// of it was written. A connection on which it was not cannot be used again.
+async fn write(conn: &Connection, bytes: &[u8]) -> Result<bool> {
+    let stream = conn.stream();
+    let written = async {
+        (&*stream).write_all(bytes).await?;
+        Ok(true)
+    };
+    let answered = async {
+        stream.readable().await?;
+        Ok(false)
+    };
+    written.or(answered).await
+}
--- a/crates/node/tests/support/peer.rs
+++ b/crates/node/tests/support/peer.rs
@@ -31,6 +31,7 @@
             match self.read()? {
                 RequestFrame::Request(request) => return Some(*request),
                 RequestFrame::Ping => self.write(ReplyFrame::Pong),
+                RequestFrame::Catalog(_) => {}
             }
         }
     }
@@ -79,6 +80,7 @@
             in_flight: 0,
             limit: 8,
             phase: Phase::Warm,
+            ..LoadReport::default()
         },
         version: handover.version,
         incarnation: Incarnation(1),
--- a/crates/rules/src/explain.rs
+++ b/crates/rules/src/explain.rs
@@ -201,6 +201,7 @@
                 name,
                 semantics,
                 deadline,
+                ..
             } = kind;
             write!(f, ", kind {name} ({semantics}, {deadline:?})")?;
         }
--- a/crates/rules/src/kind.rs
+++ b/crates/rules/src/kind.rs
@@ -1,6 +1,7 @@
 //! The rule `kind`: a kind of request within a service.
 
 use celeryshore_model::Kind;
+use celeryshore_model::Priority;
 use celeryshore_model::ServiceName;
 
 use crate::Place;
@@ -46,6 +47,9 @@
         name: name?,
         semantics: semantics?,
         deadline: deadline?,
+        priority: Priority::default(),
+        target_latency: None,
+        attempts: None,
     };
     Some((service?, kind))
 }
--- a/crates/rules/src/router.rs
+++ b/crates/rules/src/router.rs
@@ -133,11 +133,11 @@
     &path[..end.unwrap_or(path.len())]
 }
 
-/// Returns every start of a path that ends at a segment and is not over
-/// `longest`, the path `/` first.
+/// Returns every start of a path that ends at a segment, with or without the
+/// slash behind it, and is not over `longest`, the path `/` first.
 fn prefixes(path: &[u8], longest: usize) -> impl Iterator<Item = &[u8]> {
-    let ends =
-        (1..=path.len().min(longest)).filter(|end| path.get(*end).is_none_or(|b| *b == b'/'));
+    let is_end = |end: &usize| path.get(*end).is_none_or(|b| *b == b'/') || path[end - 1] == b'/';
+    let ends = (1..=path.len().min(longest)).filter(is_end);
     let root = path.first().filter(|b| **b == b'/').map(|_| &path[..1]);
     let longer = ends.filter(|end| *end > 1).map(|end| &path[..end]);
     root.into_iter().chain(longer)
--- a/crates/rules/src/service.rs
+++ b/crates/rules/src/service.rs
@@ -45,6 +45,7 @@
         retry: retry::DEFAULT,
         kinds: BTreeMap::new(),
         upstreams: Vec::new(),
+        health: None,
     })
 }
 
@@ -59,6 +60,7 @@
     let limits = Limits {
         slots: slots?,
         cold_slots: cold_slots?,
+        cold_start: None,
         queue: queue?,
         connections: connections?,
         body: body?,
--- a/crates/rules/src/text.rs
+++ b/crates/rules/src/text.rs
@@ -75,6 +75,7 @@
         zone,
         peer,
         control,
+        ..
     } = upstream;
     let values = format!("service={service} zone={zone} vm={vm} peer={peer} control={control}");
     rule(format!("upstream {name}"), values)
--- a/crates/rules/src/upstream.rs
+++ b/crates/rules/src/upstream.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
+use celeryshore_model::Incarnation;
 use celeryshore_model::Upstream;
+use celeryshore_model::UpstreamState;
 use celeryshore_model::VmName;
 
 use crate::draft::Draft;
@@ -50,6 +52,9 @@
         zone: zone?,
         peer: peer?,
         control: control?,
+        slots: None,
+        life: Incarnation::default(),
+        state: UpstreamState::Serving,
     })
 }
 
--- a/crates/trials/src/scenario/act.rs
+++ b/crates/trials/src/scenario/act.rs
@@ -48,6 +48,8 @@
     pub(super) fn act(&mut self, life: Life, action: Action) {
         match action {
             Action::Fleet(action) => self.act_for_fleet(life, action),
+            // Nodes of scenarios follow rules texts.
+            Action::Feed(_) => {}
             Action::Request(action) => self.act_for_request(life, action),
         }
     }
@@ -141,7 +143,9 @@
             }
             RequestAction::Run { work, request, .. } => self.run_work(life, work, request),
             RequestAction::Abort { work } => self.nodes[life.node].target.abort(work),
-            RequestAction::CatchUp { .. } | RequestAction::Drained => {}
+            RequestAction::CatchUp { .. }
+            | RequestAction::Examine { .. }
+            | RequestAction::Drained => {}
             RequestAction::WakeAt(at) => {
                 if let Some(process) = self.process(life) {
                     process.request_wake = Some(at);
--- a/crates/trials/src/scenario/naive.rs
+++ b/crates/trials/src/scenario/naive.rs
@@ -45,6 +45,8 @@
             Event::Fleet(FleetEvent::Read { answer, .. }) => self.apply(now, answer, actions),
             Event::Fleet(_) => {}
             Event::Request(event) => self.on_request(now, event, actions),
+            // Nodes of scenarios follow rules texts.
+            Event::Feed(_) => {}
         }
     }
 
--- a/crates/trials/src/scenario/node.rs
+++ b/crates/trials/src/scenario/node.rs
@@ -116,11 +116,13 @@
                 source: true,
                 seed,
             },
+            feed: None,
             requests: RequestsConfig {
                 vm: deployment::vm(own),
                 zone: self.zone.clone(),
                 incarnation,
                 seed,
+                terms: celeryshore_kernel::Terms::default(),
             },
         }
     }
--- /dev/null
+++ b/crates/wire/src/catalog.rs
@@ -0,0 +1,155 @@
+//! What nodes pass on of the platform's store.
+
+use std::io::Read;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshore_kernel::CatalogAnswer;
+use celeryshore_kernel::CatalogRequest;
+use celeryshore_kernel::Item;
+use celeryshore_kernel::ItemKey;
+use celeryshore_kernel::Position;
+use celeryshore_kernel::StoreRevision;
+use celeryshore_kernel::StoreSection;
+use celeryshore_model::Incarnation;
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::read::ZlibEncoder;
+
+use crate::Error;
+use crate::Result;
+use crate::border::micros;
+use crate::border::required;
+use crate::border::version;
+use crate::generated::exchange as raw;
+use crate::generated::exchange::catalog_item::Value as RawValue;
+
+/// Shorter values are sent as they are; compression would save little.
+const MIN_DEFLATED_BYTES: usize = 1_024;
+/// Longest value that is unpacked; stores hold values up to a megabyte.
+const MAX_VALUE_BYTES: u64 = 4 * 1_024 * 1_024;
+
+impl From<Position> for raw::Position {
+    fn from(position: Position) -> Self {
+        Self {
+            incarnation: position.incarnation.0,
+            sequence: position.sequence,
+        }
+    }
+}
+
+impl From<raw::Position> for Position {
+    fn from(raw: raw::Position) -> Self {
+        Self {
+            incarnation: Incarnation(raw.incarnation),
+            sequence: raw.sequence,
+        }
+    }
+}
+
+impl From<CatalogRequest> for raw::CatalogRequest {
+    fn from(request: CatalogRequest) -> Self {
+        Self {
+            position: request.position.map(Into::into),
+            wait_micros: micros(request.wait),
+        }
+    }
+}
+
+impl From<raw::CatalogRequest> for CatalogRequest {
+    fn from(raw: raw::CatalogRequest) -> Self {
+        Self {
+            position: raw.position.map(Into::into),
+            wait: Duration::from_micros(raw.wait_micros),
+        }
+    }
+}
+
+impl From<CatalogAnswer> for raw::CatalogAnswer {
+    fn from(answer: CatalogAnswer) -> Self {
+        let [configuration, upstreams] = answer.revisions;
+        Self {
+            position: Some(answer.position.into()),
+            age_micros: answer.age.map(micros),
+            version: Some(answer.version.into()),
+            configuration_revision: configuration.0,
+            upstreams_revision: upstreams.0,
+            is_whole: answer.is_whole,
+            items: answer.items.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<raw::CatalogAnswer> for CatalogAnswer {
+    type Error = Error;
+
+    fn try_from(raw: raw::CatalogAnswer) -> Result<Self> {
+        let items: Result<_> = raw.items.into_iter().map(item).collect();
+        Ok(Self {
+            position: required(raw.position, "position")?.into(),
+            age: raw.age_micros.map(Duration::from_micros),
+            version: version(raw.version)?,
+            revisions: [
+                StoreRevision(raw.configuration_revision),
+                StoreRevision(raw.upstreams_revision),
+            ],
+            is_whole: raw.is_whole,
+            items: items?,
+        })
+    }
+}
+
+impl From<(StoreSection, Item)> for raw::CatalogItem {
+    fn from((section, item): (StoreSection, Item)) -> Self {
+        let section = match section {
+            StoreSection::Configuration => raw::StoreSection::Configuration,
+            StoreSection::Upstreams => raw::StoreSection::Upstreams,
+        };
+        Self {
+            section: section.into(),
+            key: item.key.to_string(),
+            revision: item.revision.0,
+            value: item.value.map(pack),
+        }
+    }
+}
+
+fn item(raw: raw::CatalogItem) -> Result<(StoreSection, Item)> {
+    let section = match raw.section() {
+        raw::StoreSection::Configuration => StoreSection::Configuration,
+        raw::StoreSection::Upstreams => StoreSection::Upstreams,
+        raw::StoreSection::Unspecified => return Err(Error::value("section")),
+    };
+    let item = Item {
+        key: ItemKey::new(&raw.key),
+        revision: StoreRevision(raw.revision),
+        value: raw.value.map(unpack).transpose()?,
+    };
+    Ok((section, item))
+}
+
+fn pack(value: Bytes) -> RawValue {
+    let mut deflated = Vec::new();
+    if value.len() < MIN_DEFLATED_BYTES {
+        return RawValue::Plain(value);
+    }
+    let packed = ZlibEncoder::new(&value[..], Compression::fast()).read_to_end(&mut deflated);
+    match packed {
+        Ok(_) => RawValue::Deflated(deflated.into()),
+        Err(_) => RawValue::Plain(value),
+    }
+}
+
+fn unpack(raw: RawValue) -> Result<Bytes> {
+    match raw {
+        RawValue::Plain(value) => Ok(value),
+        RawValue::Deflated(deflated) => {
+            let mut value = Vec::new();
+            ZlibDecoder::new(&deflated[..])
+                .take(MAX_VALUE_BYTES)
+                .read_to_end(&mut value)
+                .map_err(|_| Error::value("deflated"))?;
+            Ok(value.into())
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 //! newer configuration by gRPC, see [`PullClient`] and [`PullServer`].
 
 mod border;
+mod catalog;
 mod datagram;
 mod error;
 mod frame;
--- a/crates/wire/src/reason.rs
+++ b/crates/wire/src/reason.rs
@@ -29,6 +29,7 @@
             NotRun::Learning => Self::Learning,
             NotRun::TooLarge => Self::TooLarge,
             NotRun::TooDeep => Self::TooDeep,
+            NotRun::Shed => Self::Shed,
         }
     }
 }
@@ -56,6 +57,7 @@
             raw::NotRunReason::Learning => Ok(Self::Learning),
             raw::NotRunReason::TooLarge => Ok(Self::TooLarge),
             raw::NotRunReason::TooDeep => Ok(Self::TooDeep),
+            raw::NotRunReason::Shed => Ok(Self::Shed),
             raw::NotRunReason::Unspecified => Err(Error::value("reason")),
         }
     }
--- a/crates/wire/src/reply.rs
+++ b/crates/wire/src/reply.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celeryshore_kernel::CatalogAnswer;
 use celeryshore_kernel::LoadReport;
 use celeryshore_kernel::PeerReply;
 use celeryshore_kernel::Reply;
@@ -41,6 +42,8 @@
     Pong,
     /// The reply is still outstanding.
     Working,
+    /// What the sender knows of the platform's store.
+    Catalog(Box<CatalogAnswer>),
 }
 
 impl ReplyFrame {
@@ -50,6 +53,7 @@
         let kind = match self {
             Self::Pong => RawKind::Pong(raw::Pong {}),
             Self::Working => RawKind::Working(raw::Working {}),
+            Self::Catalog(answer) => RawKind::Catalog((*answer).into()),
             Self::Reply(PeerReply::Reply(reply)) => RawKind::Reply((*reply).into()),
             Self::Reply(PeerReply::Vote(vote)) => RawKind::Vote((*vote).into()),
         };
@@ -66,6 +70,10 @@
         match required(raw.kind, "kind")? {
             RawKind::Pong(raw::Pong {}) => Ok(Self::Pong),
             RawKind::Working(raw::Working {}) => Ok(Self::Working),
+            RawKind::Catalog(raw) => {
+                let answer = CatalogAnswer::try_from(raw)?;
+                Ok(Self::Catalog(Box::new(answer)))
+            }
             RawKind::Reply(raw) => {
                 let reply = Reply::try_from(raw)?;
                 Ok(Self::Reply(Box::new(reply).into()))
@@ -141,6 +149,8 @@
             in_flight: load.in_flight,
             limit: load.limit,
             phase: raw::Phase::from(load.phase).into(),
+            wait_micros: micros(load.wait),
+            service_time_micros: micros(load.service_time),
         }
     }
 }
@@ -151,6 +161,8 @@
             in_flight: raw.in_flight,
             limit: raw.limit,
             phase: raw.phase().into(),
+            wait: Duration::from_micros(raw.wait_micros),
+            service_time: Duration::from_micros(raw.service_time_micros),
         }
     }
 }
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celeryshore_kernel::CatalogRequest;
 use celeryshore_kernel::Delivery;
 use celeryshore_kernel::Fence;
 use celeryshore_kernel::Handover;
@@ -42,6 +43,8 @@
     Request(Box<PeerRequest>),
     /// Asks whether an idle connection still works.
     Ping,
+    /// Asks for what the receiver knows of the platform's store.
+    Catalog(CatalogRequest),
 }
 
 impl RequestFrame {
@@ -50,6 +53,7 @@
     pub fn encode(self) -> Bytes {
         let kind = match self {
             Self::Ping => RawKind::Ping(raw::Ping {}),
+            Self::Catalog(request) => RawKind::Catalog(request.into()),
             Self::Request(request) => (*request).into(),
         };
         frame::encode(&raw::RequestFrame { kind: Some(kind) })
@@ -64,6 +68,7 @@
         let raw: raw::RequestFrame = frame::decode(frame)?;
         match required(raw.kind, "kind")? {
             RawKind::Ping(raw::Ping {}) => Ok(Self::Ping),
+            RawKind::Catalog(raw) => Ok(Self::Catalog(raw.into())),
             RawKind::Handover(raw) => {
                 let handover = Handover::try_from(raw)?;
                 let request = PeerRequest::from(Box::new(handover));
@@ -103,6 +108,7 @@
                 .map(ToString::to_string)
                 .collect(),
             request: Some(handover.request.into()),
+            max_wait_micros: handover.max_wait.map(micros),
         }
     }
 }
@@ -123,6 +129,7 @@
             depth: Depth::new(depth),
             fingerprint: digest(&raw.fingerprint)?,
             casualties: casualties?,
+            max_wait: raw.max_wait_micros.map(Duration::from_micros),
             request: required(raw.request, "request")?.into(),
         })
     }
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -61,6 +61,7 @@
         depth: Depth::new(3),
         fingerprint: Digest::of(b"request"),
         casualties: vec!["vm-7".parse().unwrap()],
+        max_wait: Some(Duration::from_micros(75_001)),
         request: HttpRequest {
             method: Bytes::from_static(b"POST"),
             host: Bytes::from_static(b"orders.example"),
@@ -101,6 +102,8 @@
             in_flight: 5,
             limit: 6,
             phase: Phase::Draining,
+            wait: Duration::from_micros(1_500),
+            service_time: Duration::from_micros(90_001),
         },
         version: version(),
         incarnation: Incarnation(u64::MAX),
@@ -169,6 +172,7 @@
         NotRun::Learning,
         NotRun::TooLarge,
         NotRun::TooDeep,
+        NotRun::Shed,
     ] {
         let retry_after = Duration::from_millis(250);
         outcome_survives(ReplyOutcome::NotRun {
