--- a/crates/kernel/src/fleet/mod.rs
+++ b/crates/kernel/src/fleet/mod.rs
@@ -36,6 +36,7 @@
 use celeryshore_model::VmName;
 
 pub(crate) use self::backoff::Backoff;
+pub(crate) use self::backoff::jitter;
 use self::budget::Traffic;
 pub use self::budget::TrafficCount;
 pub use self::budget::TrafficKind;
--- a/crates/kernel/src/requests/handing/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -23,6 +23,11 @@
 use crate::requests::headers;
 use crate::requests::rendezvous;
 
+/// Ten times the way to another zone and back.
+const REGION_PENALTY: Duration = Duration::from_millis(20);
+/// Ten times the way to another region and back.
+const FAR_PENALTY: Duration = Duration::from_millis(250);
+
 /// Chooses upstreams by what this node sees of them.
 #[derive(Debug)]
 pub(super) struct Balancer {
@@ -38,6 +43,18 @@
     Far,
 }
 
+impl Distance {
+    /// Returns the time that a farther upstream has to save to be worth its way,
+    /// which costs bytes over a border beside the time itself.
+    const fn penalty(self) -> Duration {
+        match self {
+            Self::Zone => Duration::ZERO,
+            Self::Region => REGION_PENALTY,
+            Self::Far => FAR_PENALTY,
+        }
+    }
+}
+
 /// An upstream that may be chosen.
 #[derive(Debug)]
 struct Candidate<'a> {
@@ -62,6 +79,11 @@
         self.rng.u64(..)
     }
 
+    /// Returns a random time between half of `full` and `full`.
+    pub(super) fn jitter(&mut self, full: Duration) -> Duration {
+        crate::fleet::jitter(full, &mut self.rng)
+    }
+
     /// Chooses an upstream that the call has not been handed to.
     ///
     /// The nearest ones with room come first, then any that are in order, and
@@ -171,7 +193,7 @@
             is_doubtful: is_suspect || load.is_avoided(now),
             has_room: load.has_room(now, cold, cx.view.zone_size(&upstream.zone))
                 || local_wait.is_some_and(|wait| load.wait(now, cold) <= wait),
-            cost: load.cost(now, cold),
+            cost: load.cost(now, cold) + distance.penalty(),
         }
     }
 }
--- a/crates/kernel/src/requests/handing/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -18,6 +18,7 @@
 use crate::Handover;
 use crate::NotRun;
 use crate::Unknown;
+use crate::requests::Caller;
 use crate::requests::ExchangeId;
 use crate::requests::context::Context;
 use crate::requests::headers;
@@ -27,6 +28,9 @@
 /// Part of the target latency that a request may wait for a slot before its node
 /// tries another upstream, as a divisor; the larger part is for the work itself.
 const WAIT_DIVISOR: u32 = 4;
+/// Part of the target latency that a request may wait for a slot at all, as a
+/// divisor.
+const LONGEST_WAIT_DIVISOR: u32 = 2;
 /// Attempt number of a first send.
 const FIRST: Attempt = Attempt::new(1);
 
@@ -50,6 +54,8 @@
     pub(super) fingerprint: Digest,
     /// VMs that were lost while they ran it.
     pub(super) casualties: Vec<VmName>,
+    /// Who sent it.
+    pub(super) caller: Caller,
     /// Time within which the answer is worth most.
     pub(super) target_latency: Option<Duration>,
     /// Most hand-overs that may reach a target.
@@ -87,7 +93,12 @@
 
 impl Call {
     /// Routes a request and checks it against the limits of its service.
-    pub(super) fn route(cx: &Context<'_>, mut request: HttpRequest, draw: u64) -> Result<Self> {
+    pub(super) fn route(
+        cx: &Context<'_>,
+        caller: Caller,
+        mut request: HttpRequest,
+        draw: u64,
+    ) -> Result<Self> {
         if cx.view.is_closed() {
             return Err(NotRun::Leaving);
         }
@@ -109,6 +120,7 @@
             headers::name_caller(dialect, &mut request, service);
         }
         Ok(Self {
+            caller,
             target_latency: rule.target_latency,
             max_attempts: rule.attempts.unwrap_or(service.retry.attempts),
             delivery: delivery(rule.semantics, &request)?,
@@ -151,6 +163,14 @@
         self.target_latency.map(|latency| latency / WAIT_DIVISOR)
     }
 
+    /// Returns the wait for a slot beyond which the answer would be late. Whoever
+    /// would wait longer is better off coming back: a queue that is longer than
+    /// this makes every answer late for as long as the load lasts.
+    fn longest_wait(&self) -> Option<Duration> {
+        self.target_latency
+            .map(|latency| latency / LONGEST_WAIT_DIVISOR)
+    }
+
     /// Marks the next hand-over of the key as a resend, after one that may
     /// still arrive.
     pub(super) fn mark_resend(&mut self) {
@@ -194,7 +214,11 @@
             depth: self.depth,
             fingerprint: self.fingerprint,
             casualties: self.casualties.clone(),
-            max_wait: self.local_wait().filter(|_| has_others),
+            max_wait: if has_others {
+                self.local_wait()
+            } else {
+                self.longest_wait()
+            },
             request: self.request.clone(),
         }
     }
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -30,6 +30,7 @@
 use crate::Unknown;
 use crate::requests::Answer;
 use crate::requests::CallId;
+use crate::requests::Caller;
 use crate::requests::ExchangeId;
 use crate::requests::Progress;
 use crate::requests::RequestAction;
@@ -90,9 +91,15 @@
     }
 
     /// Takes a caller's request.
-    pub(super) fn arrived(&mut self, cx: &mut Context<'_>, id: CallId, request: HttpRequest) {
+    pub(super) fn arrived(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        caller: Caller,
+        request: HttpRequest,
+    ) {
         let resend = call::Resend::of(&request);
-        match Call::route(cx, request, self.balancer.draw()) {
+        match Call::route(cx, caller, request, self.balancer.draw()) {
             Ok(call) => self.begin(cx, id, call),
             Err(reason) if call::is_doubtful(reason, resend) => {
                 self.answer(cx, id, retry::unknown_answer(Unknown::NotJudged));
@@ -269,6 +276,20 @@
         }
     }
 
+    /// Spreads the times at which refused callers come back.
+    pub(super) fn spread(&mut self, answer: Answer) -> Answer {
+        match answer {
+            Answer::NotRun {
+                reason,
+                retry_after,
+            } => Answer::NotRun {
+                reason,
+                retry_after: self.balancer.jitter(retry_after),
+            },
+            other => other,
+        }
+    }
+
     fn answer(&mut self, cx: &mut Context<'_>, call: CallId, answer: Answer) {
         self.deadlines.cancel(call);
         cx.actions.push(RequestAction::Answer { call, answer });
--- a/crates/kernel/src/requests/handing/retry.rs
+++ b/crates/kernel/src/requests/handing/retry.rs
@@ -45,6 +45,7 @@
             if call.refusals < MAX_REFUSALS {
                 self.hand_over(cx, id, call, answer);
             } else {
+                let answer = self.spread(answer);
                 self.answer(cx, id, answer);
             }
         } else if is_final(reason) || !self.may_retry(cx, &call) {
