--- a/crates/kernel/src/requests/handing/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -166,9 +166,14 @@
     /// Returns the wait for a slot beyond which the answer would be late. Whoever
     /// would wait longer is better off coming back: a queue that is longer than
     /// this makes every answer late for as long as the load lasts.
+    ///
+    /// A target that runs a request waits for its own calls to the last: without
+    /// them its work is lost.
     fn longest_wait(&self) -> Option<Duration> {
-        self.target_latency
-            .map(|latency| latency / LONGEST_WAIT_DIVISOR)
+        let latency = self
+            .target_latency
+            .filter(|_| self.caller == Caller::Client);
+        latency.map(|latency| latency / LONGEST_WAIT_DIVISOR)
     }
 
     /// Marks the next hand-over of the key as a resend, after one that may
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -113,7 +113,6 @@
     ///     incarnation: Incarnation(1),
     ///     seed: 1,
     ///     terms: celeryshore_kernel::Terms::default(),
-    ///     terms: Terms::default(),
     /// };
     /// let requests = Requests::new(cfg, Now::default());
     /// # let _ = requests;
