--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -100,7 +100,6 @@
 pub use crate::requests::Answer;
 pub use crate::requests::Begin;
 pub use crate::requests::CallId;
-pub use crate::requests::Caller;
 pub use crate::requests::ColdStartTerms;
 pub use crate::requests::CrashEvidence;
 pub use crate::requests::ExchangeId;
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -33,11 +33,7 @@
 
     fn step(&mut self, cx: &mut Context<'_>, event: RequestEvent) {
         match event {
-            RequestEvent::Arrived {
-                call,
-                caller,
-                request,
-            } => self.handing.arrived(cx, call, caller, request),
+            RequestEvent::Arrived { call, request } => self.handing.arrived(cx, call, request),
             RequestEvent::Cancelled { call } => self.handing.cancelled(cx, call),
             RequestEvent::Received { inbound, request } => {
                 self.receive(cx, inbound.into(), request);
--- a/crates/kernel/src/requests/event.rs
+++ b/crates/kernel/src/requests/event.rs
@@ -36,18 +36,6 @@
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WorkId(pub u64);
 
-/// Who sends a request to the callers' port.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
-pub enum Caller {
-    /// A client.
-    #[default]
-    #[display("client")]
-    Client,
-    /// The VM's own target, while it runs another request.
-    #[display("target")]
-    Target,
-}
-
 /// What can happen to the decisions about requests.
 #[derive(Clone, Debug)]
 pub enum RequestEvent {
@@ -55,8 +43,6 @@
     Arrived {
         /// Number of the call.
         call: CallId,
-        /// Who sent it.
-        caller: Caller,
         /// The request.
         request: HttpRequest,
     },
--- a/crates/kernel/src/requests/handing/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -18,7 +18,6 @@
 use crate::Handover;
 use crate::NotRun;
 use crate::Unknown;
-use crate::requests::Caller;
 use crate::requests::ExchangeId;
 use crate::requests::context::Context;
 use crate::requests::headers;
@@ -54,8 +53,6 @@
     pub(super) fingerprint: Digest,
     /// VMs that were lost while they ran it.
     pub(super) casualties: Vec<VmName>,
-    /// Who sent it.
-    pub(super) caller: Caller,
     /// Time within which the answer is worth most.
     pub(super) target_latency: Option<Duration>,
     /// Most hand-overs that may reach a target.
@@ -93,12 +90,7 @@
 
 impl Call {
     /// Routes a request and checks it against the limits of its service.
-    pub(super) fn route(
-        cx: &Context<'_>,
-        caller: Caller,
-        mut request: HttpRequest,
-        draw: u64,
-    ) -> Result<Self> {
+    pub(super) fn route(cx: &Context<'_>, mut request: HttpRequest, draw: u64) -> Result<Self> {
         if cx.view.is_closed() {
             return Err(NotRun::Leaving);
         }
@@ -120,7 +112,6 @@
             headers::name_caller(dialect, &mut request, service);
         }
         Ok(Self {
-            caller,
             target_latency: rule.target_latency,
             max_attempts: rule.attempts.unwrap_or(service.retry.attempts),
             delivery: delivery(rule.semantics, &request)?,
@@ -166,14 +157,9 @@
     /// Returns the wait for a slot beyond which the answer would be late. Whoever
     /// would wait longer is better off coming back: a queue that is longer than
     /// this makes every answer late for as long as the load lasts.
-    ///
-    /// A target that runs a request waits for its own calls to the last: without
-    /// them its work is lost.
     fn longest_wait(&self) -> Option<Duration> {
-        let latency = self
-            .target_latency
-            .filter(|_| self.caller == Caller::Client);
-        latency.map(|latency| latency / LONGEST_WAIT_DIVISOR)
+        self.target_latency
+            .map(|latency| latency / LONGEST_WAIT_DIVISOR)
     }
 
     /// Marks the next hand-over of the key as a resend, after one that may
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -30,7 +30,6 @@
 use crate::Unknown;
 use crate::requests::Answer;
 use crate::requests::CallId;
-use crate::requests::Caller;
 use crate::requests::ExchangeId;
 use crate::requests::Progress;
 use crate::requests::RequestAction;
@@ -91,15 +90,9 @@
     }
 
     /// Takes a caller's request.
-    pub(super) fn arrived(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        caller: Caller,
-        request: HttpRequest,
-    ) {
+    pub(super) fn arrived(&mut self, cx: &mut Context<'_>, id: CallId, request: HttpRequest) {
         let resend = call::Resend::of(&request);
-        match Call::route(cx, caller, request, self.balancer.draw()) {
+        match Call::route(cx, request, self.balancer.draw()) {
             Ok(call) => self.begin(cx, id, call),
             Err(reason) if call::is_doubtful(reason, resend) => {
                 self.answer(cx, id, retry::unknown_answer(Unknown::NotJudged));
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -34,7 +34,6 @@
 use self::dispatch::Sides;
 pub use self::event::Answer;
 pub use self::event::CallId;
-pub use self::event::Caller;
 pub use self::event::ExchangeId;
 pub use self::event::Health;
 pub use self::event::InboundId;
@@ -143,7 +142,6 @@
     /// ```
     /// use celeryshore_kernel::Answer;
     /// use celeryshore_kernel::CallId;
-    /// use celeryshore_kernel::Caller;
     /// use celeryshore_kernel::NotRun;
     /// use celeryshore_kernel::RequestAction;
     /// use celeryshore_kernel::RequestEvent;
@@ -163,7 +161,6 @@
     /// # let mut requests = Requests::new(cfg, Now::default());
     /// let event = RequestEvent::Arrived {
     ///     call: CallId(1),
-    ///     caller: Caller::Client,
     ///     request: HttpRequest::default(),
     /// };
     /// let mut actions = Vec::new();
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -168,14 +168,7 @@
     pub fn call(&mut self, vm: &str, request: HttpRequest) -> CallId {
         self.latest += 1;
         let call = CallId(self.latest);
-        self.send(
-            vm,
-            RequestEvent::Arrived {
-                call,
-                caller: celeryshore_kernel::Caller::Client,
-                request,
-            },
-        );
+        self.send(vm, RequestEvent::Arrived { call, request });
         call
     }
 
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
-use celeryshore_kernel::Caller;
 use celeryshore_model::HttpRequest;
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
@@ -39,7 +38,6 @@
 struct Served<'a> {
     callers: &'a Arc<Callers>,
     pass: &'a Pass,
-    caller: Caller,
     /// Requests that were read and not answered.
     open: AtomicUsize,
 }
@@ -87,7 +85,6 @@
     let served = Served {
         callers: &callers,
         pass: &pass,
-        caller: caller(&callers, &conn.stream()),
         open: AtomicUsize::new(0),
     };
     let stream = conn.stream();
@@ -110,17 +107,6 @@
     }
 }
 
-/// Tells clients from the VM's own target, whose calls come from its address.
-fn caller(callers: &Callers, stream: &Stream) -> Caller {
-    let addr = stream.get_ref().peer_addr();
-    let is_target = addr.is_ok_and(|addr| addr.ip() == callers.driver.target.addr().ip());
-    if is_target {
-        Caller::Target
-    } else {
-        Caller::Client
-    }
-}
-
 impl Served<'_> {
     /// Reads requests and passes them on as they come.
     async fn read(&self, mut conn: Connection, tx: Sender<Due>) -> End {
@@ -162,7 +148,7 @@
 
     fn call(&self, request: HttpRequest) -> Call {
         let driver = self.callers.driver.clone();
-        let (id, answer) = driver.arrive(self.caller, request);
+        let (id, answer) = driver.arrive(request);
         Call {
             driver,
             id,
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -19,7 +19,6 @@
 use celeryshore_kernel::Action;
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
-use celeryshore_kernel::Caller;
 use celeryshore_kernel::Event;
 use celeryshore_kernel::ExchangeId;
 use celeryshore_kernel::FleetAction;
@@ -138,22 +137,10 @@
     }
 
     /// Takes a caller's request; the answer comes through the receiver.
-    pub(crate) fn arrive(
-        self: &Arc<Self>,
-        caller: Caller,
-        request: HttpRequest,
-    ) -> (CallId, Receiver<Answer>) {
+    pub(crate) fn arrive(self: &Arc<Self>, request: HttpRequest) -> (CallId, Receiver<Answer>) {
         let mut state = self.lock();
         let (call, answer) = state.pending.add_call();
-        self.handle_locked(
-            &mut state,
-            RequestEvent::Arrived {
-                call,
-                caller,
-                request,
-            }
-            .into(),
-        );
+        self.handle_locked(&mut state, RequestEvent::Arrived { call, request }.into());
         (call, answer)
     }
 
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -54,10 +54,6 @@
         }
     }
 
-    pub(crate) const fn addr(&self) -> SocketAddr {
-        self.pool.addr()
-    }
-
     pub(crate) fn set_limits(&self, limits: TargetLimits) {
         self.pool.set_limits(limits);
     }
--- a/crates/node/src/target/pool.rs
+++ b/crates/node/src/target/pool.rs
@@ -60,10 +60,6 @@
         }
     }
 
-    pub(super) const fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
     pub(super) fn set_limits(&self, limits: TargetLimits) {
         self.lock().limits = limits;
     }
--- a/crates/trials/src/scenario/world.rs
+++ b/crates/trials/src/scenario/world.rs
@@ -206,15 +206,7 @@
         };
         self.record.calls.insert(call, record);
         if let Some(life) = self.life(node) {
-            self.deliver(
-                self.now,
-                life,
-                RequestEvent::Arrived {
-                    call,
-                    caller: celeryshore_kernel::Caller::Client,
-                    request,
-                },
-            );
+            self.deliver(self.now, life, RequestEvent::Arrived { call, request });
         }
         call
     }
