Hand calls on for the whole time of leaving, and mend a late removal

Change: a node that follows a peer forgets that the store was lost; calls are handed on for 4 s whatever else is under way; waiting connections hold no buffer; one bounded log line for each decision about a request that was not answered at its first try.

--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -150,6 +150,8 @@
             Choice::Peer(vm) => SourceName::Peer(vm.clone()),
         };
         if self.source.as_ref() != Some(&source) {
+            // Whether the store answers is not known to a node that does not read it.
+            self.is_store_lost = false;
             self.source = Some(source.clone());
             self.out
                 .push(FeedAction::Report(FeedReport::Source { source }));
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -114,6 +114,8 @@
 pub use crate::requests::RequestAction;
 pub use crate::requests::RequestCounters;
 pub use crate::requests::RequestEvent;
+pub use crate::requests::RequestReport;
+pub use crate::requests::RequestStep;
 pub use crate::requests::Requests;
 pub use crate::requests::RequestsConfig;
 pub use crate::requests::RequestsStatus;
--- a/crates/kernel/src/requests/counters.rs
+++ b/crates/kernel/src/requests/counters.rs
@@ -48,6 +48,7 @@
             RequestAction::Abort { .. } => self.aborts += 1,
             RequestAction::Abandon { .. }
             | RequestAction::Examine { .. }
+            | RequestAction::Report(_)
             | RequestAction::Reply { .. }
             | RequestAction::CatchUp { .. }
             | RequestAction::WakeAt(_)
--- a/crates/kernel/src/requests/event.rs
+++ b/crates/kernel/src/requests/event.rs
@@ -18,6 +18,7 @@
 use crate::PeerReply;
 use crate::PeerRequest;
 use crate::Phase;
+use crate::RequestReport;
 use crate::Unknown;
 
 /// A caller's request at the node that it came to; numbered by the driver.
@@ -213,6 +214,8 @@
         /// The peer that has it.
         from: VmName,
     },
+    /// Tell the log of a decision.
+    Report(Box<RequestReport>),
     /// Send [`RequestEvent::Tick`] at this time.
     WakeAt(Time),
     /// All work is finished after [`RequestEvent::Drain`].
--- a/crates/kernel/src/requests/handing/call.rs
+++ b/crates/kernel/src/requests/handing/call.rs
@@ -17,8 +17,11 @@
 use crate::Delivery;
 use crate::Handover;
 use crate::NotRun;
+use crate::RequestReport;
+use crate::RequestStep;
 use crate::Unknown;
 use crate::requests::ExchangeId;
+use crate::requests::RequestAction;
 use crate::requests::context::Context;
 use crate::requests::headers;
 
@@ -149,6 +152,20 @@
         matches!(self.delivery, Delivery::Repeatable)
     }
 
+    /// Tells the log of a decision about it.
+    pub(super) fn report(&self, cx: &mut Context<'_>, step: RequestStep) {
+        let id = cx.view.cfg().terms.dialect.request_id.as_ref();
+        let report = RequestReport {
+            request: id.and_then(|name| self.request.header(name)).cloned(),
+            kind: self.kind.clone(),
+            step,
+            tried: self.tried.len(),
+            remaining: self.deadline - cx.now.mono,
+            version: cx.view.version(),
+        };
+        cx.actions.push(RequestAction::Report(Box::new(report)));
+    }
+
     /// Returns the wait for a slot that leaves enough of the target latency.
     pub(super) fn local_wait(&self) -> Option<Duration> {
         self.target_latency.map(|latency| latency / WAIT_DIVISOR)
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -27,6 +27,7 @@
 use crate::NotRun;
 use crate::Reply;
 use crate::ReplyOutcome;
+use crate::RequestStep;
 use crate::Unknown;
 use crate::requests::Answer;
 use crate::requests::CallId;
@@ -136,6 +137,9 @@
     /// Answers the calls whose deadline has passed, and leaves those that stall.
     pub(super) fn expire(&mut self, cx: &mut Context<'_>) {
         while let Some(id) = self.deadlines.pop(cx.now.mono) {
+            if let Some(call) = self.calls.get(&id) {
+                call.report(cx, RequestStep::Deadline);
+            }
             for leg in self.close(cx, id) {
                 self.blame(cx, &leg);
             }
@@ -163,7 +167,7 @@
             ReplyOutcome::NotRun {
                 reason,
                 retry_after,
-            } => self.refused(cx, id, call, (reason, retry_after)),
+            } => self.refused(cx, id, call, &leg, (reason, retry_after)),
             ReplyOutcome::Unknown(reason) => self.uncertain(cx, id, call, &leg, reason),
         }
     }
@@ -186,6 +190,7 @@
     /// Hands a call to an upstream, or gives the answer if there is none left.
     fn hand_over(&mut self, cx: &mut Context<'_>, id: CallId, mut call: Call, answer: Answer) {
         let Some(upstream) = self.balancer.pick(cx, &call) else {
+            call.report(cx, RequestStep::NoUpstream);
             self.answer(cx, id, answer);
             return;
         };
--- a/crates/kernel/src/requests/handing/retry.rs
+++ b/crates/kernel/src/requests/handing/retry.rs
@@ -9,6 +9,7 @@
 use super::poison;
 use crate::MemberState;
 use crate::NotRun;
+use crate::RequestStep;
 use crate::Unknown;
 use crate::requests::Answer;
 use crate::requests::CallId;
@@ -26,9 +27,12 @@
         cx: &mut Context<'_>,
         id: CallId,
         call: Call,
+        leg: &Leg,
         refusal: (NotRun, Duration),
     ) {
         let (reason, retry_after) = refusal;
+        let upstream = leg.upstream.clone();
+        call.report(cx, RequestStep::Refused { upstream, reason });
         let Some(mut call) = self.fall_back(id, call) else {
             return;
         };
@@ -68,6 +72,8 @@
             return;
         };
         if progress == Progress::NeverSent {
+            let upstream = leg.upstream.clone();
+            call.report(cx, RequestStep::NeverSent { upstream });
             call.attempts -= 1;
             let answer = refusal_answer(&call, NotRun::NoUpstream, RETRY_AFTER);
             self.hand_over(cx, id, call, answer);
@@ -90,6 +96,8 @@
         let Some(mut call) = self.fall_back(id, call) else {
             return;
         };
+        let upstream = leg.upstream.clone();
+        call.report(cx, RequestStep::Unknown { upstream, reason });
         call.doubt = Some(reason);
         if matches!(reason, Unknown::TargetLost | Unknown::PeerLost) {
             poison::record_loss(cx, &mut call, leg, reason);
--- a/crates/kernel/src/requests/lifecycle.rs
+++ b/crates/kernel/src/requests/lifecycle.rs
@@ -110,9 +110,4 @@
             Self::Drained(_) => "drained",
         }
     }
-
-    /// Tells whether nothing is under way and nothing new is taken.
-    pub(super) const fn is_drained(&self) -> bool {
-        matches!(self, Self::Drained(_))
-    }
 }
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -12,6 +12,7 @@
 mod lifecycle;
 mod peers;
 mod rendezvous;
+mod report;
 mod section;
 mod status;
 mod suspicions;
@@ -53,6 +54,8 @@
 pub use self::journal::Witness;
 use self::lifecycle::Lifecycle;
 use self::lifecycle::Stage;
+pub use self::report::RequestReport;
+pub use self::report::RequestStep;
 pub use self::status::RequestsStatus;
 use self::suspicions::Suspicions;
 pub use self::terms::ColdStartTerms;
@@ -78,7 +81,9 @@
 }
 
 /// Time after the begin of a drain in which new calls are handed to other nodes.
-const HAND_ON: Duration = Duration::from_secs(3);
+/// Callers may have no other node to go to; two thirds of a grace period of six
+/// seconds leave the rest to finish what was taken.
+const HAND_ON: Duration = Duration::from_secs(4);
 
 /// Decides about requests, as the handing node and as the admitting node.
 #[derive(Debug)]
@@ -91,6 +96,9 @@
     counters: RequestCounters,
     wake_at: Option<Time>,
     stage: Stage,
+    /// When the node began to leave. It hands calls on for a while, also after
+    /// its own work is finished.
+    leaving_since: Option<Time>,
     /// Time of the latest event.
     latest: Time,
 }
@@ -131,6 +139,7 @@
             counters: RequestCounters::default(),
             wake_at: None,
             stage: Lifecycle::new(now.mono).into(),
+            leaving_since: None,
             latest: now.mono,
         }
     }
@@ -232,13 +241,13 @@
             _ => {}
         }
         let is_over = self
-            .stage
-            .draining_since()
+            .leaving_since
             .is_some_and(|since| now.mono - since > HAND_ON);
-        self.view.set_closed(is_over || self.stage.is_drained());
+        self.view.set_closed(is_over);
     }
 
     fn drain(&mut self, now: Now) {
+        self.leaving_since.get_or_insert(now.mono);
         self.replace_stage(|stage| stage.drain(now.mono));
         self.view.leave();
     }
--- a/crates/kernel/tests/drain.rs
+++ b/crates/kernel/tests/drain.rs
@@ -46,6 +46,11 @@
     mesh.answer("");
     mesh.answer("");
     assert!(matches!(mesh.answers[&handed_on], Answer::Whole(_)));
+    assert!(mesh.is_drained("vm-1"));
+    let idle = mesh.call("vm-1", stock());
+    mesh.answer("");
+    assert!(matches!(mesh.answers[&idle], Answer::Whole(_)));
+    mesh.advance(3_200);
     let late = mesh.call("vm-1", stock());
     assert_eq!(refusal(&mesh, late), NotRun::Leaving);
 }
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -2,6 +2,7 @@
 
 mod feed;
 mod pending;
+mod quota;
 mod wake;
 
 use std::future::Future;
@@ -30,6 +31,7 @@
 use celeryshore_kernel::PeerRequest;
 use celeryshore_kernel::RequestAction;
 use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::RequestReport;
 use celeryshore_kernel::WorkId;
 use celeryshore_model::CallerLimits;
 use celeryshore_model::Dialect;
@@ -40,6 +42,7 @@
 use slog::Logger;
 
 use self::pending::Pending;
+use self::quota::Quota;
 use self::wake::Wake;
 use crate::clock::Clock;
 use crate::control::Store;
@@ -60,6 +63,7 @@
     request_wake: Wake,
     fleet_wake: Wake,
     feed_wake: Wake,
+    log_quota: Quota,
     store: Option<Arc<Store>>,
     examinations: (Sender<String>, Receiver<String>),
     caller_limits: Mutex<Option<CallerLimits>>,
@@ -108,6 +112,7 @@
             request_wake: Wake::default(),
             fleet_wake: Wake::default(),
             feed_wake: Wake::default(),
+            log_quota: Quota::default(),
             store: parts.store,
             examinations: async_channel::unbounded(),
             caller_limits: Mutex::default(),
@@ -243,7 +248,7 @@
     }
 
     fn configured(&self, snapshot: &Snapshot) {
-        slog::info!(self.log, "node: version in force"; "version" => %snapshot.version);
+        slog::info!(self.log, "node: version in force"; "version" => %snapshot.version.index);
         *self
             .caller_limits
             .lock()
@@ -276,6 +281,7 @@
                 let task = self.run(work, request, deadline);
                 pending.add_work(work, task);
             }
+            RequestAction::Report(report) => self.report_request(&report),
             RequestAction::Abort { work } => pending.remove_work(work),
             RequestAction::Examine { path } => {
                 let _ = self.examinations.0.try_send(path);
@@ -289,6 +295,18 @@
         }
     }
 
+    /// Logs a decision, unless too many were logged in this second.
+    fn report_request(&self, report: &RequestReport) {
+        if let Some(left_out) = self.log_quota.take(Instant::now()) {
+            let request = report.request.as_deref().map(String::from_utf8_lossy);
+            slog::info!(self.log, "requests: {}", report;
+                "request" => request.unwrap_or_default().as_ref(),
+                "remaining_ms" => report.remaining.as_millis(),
+                "version" => %report.version.index,
+                "left_out" => left_out);
+        }
+    }
+
     fn exchange(
         self: &Arc<Self>,
         exchange: ExchangeId,
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -12,7 +12,7 @@
 use crate::net;
 use crate::net::Stream;
 
-const READ_BYTES: usize = 8 * 1_024;
+const READ_BYTES: usize = 4 * 1_024;
 const END: &[u8] = b"\r\n\r\n";
 const LINE_END: &[u8] = b"\r\n";
 /// Longest line between chunks.
--- a/crates/node/src/net.rs
+++ b/crates/node/src/net.rs
@@ -61,6 +61,10 @@
 ) -> io::Result<usize> {
     let start = buf.len();
     loop {
+        if buf.is_empty() {
+            // A connection that waits for a message holds no memory.
+            *buf = BytesMut::new();
+        }
         // Mostly there is nothing to read yet, so a first attempt would be wasted.
         future::poll_fn(|cx| stream.poll_readable(cx)).await?;
         buf.resize(start + max, 0);
--- a/crates/node/src/peers/frames.rs
+++ b/crates/node/src/peers/frames.rs
@@ -13,7 +13,7 @@
 use crate::net;
 use crate::net::Stream;
 
-const READ_BYTES: usize = 16 * 1_024;
+const READ_BYTES: usize = 4 * 1_024;
 /// Longest body that settings allow, and its header.
 const LIMIT: FrameLimit = FrameLimit(ByteSize::new(65 * 1_024 * 1_024));
 
--- a/crates/node/src/peers/pool.rs
+++ b/crates/node/src/peers/pool.rs
@@ -15,7 +15,7 @@
 use crate::net::Stream;
 
 /// An unused connection is closed after this time.
-const MAX_IDLE: Duration = Duration::from_secs(30);
+const MAX_IDLE: Duration = Duration::from_secs(10);
 
 /// Idle connections by the address of the peer.
 #[derive(Default)]
--- a/crates/trials/src/scenario/act.rs
+++ b/crates/trials/src/scenario/act.rs
@@ -145,6 +145,7 @@
             RequestAction::Abort { work } => self.nodes[life.node].target.abort(work),
             RequestAction::CatchUp { .. }
             | RequestAction::Examine { .. }
+            | RequestAction::Report(_)
             | RequestAction::Drained => {}
             RequestAction::WakeAt(at) => {
                 if let Some(process) = self.process(life) {
