Test the feed, the pace of cold starts, the adapter and the whole path

A target of unknown standing is examined again when it is doubted again, and an examination that cannot be made no longer counts as a freeze. Conclusion: examination without a health path was found by these tests.

--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -166,7 +166,7 @@
         match event {
             FeedEvent::Listed { fetch, page } => self.listed(now, fetch, page),
             FeedEvent::Watched { fetch, changes } => self.watched(now, fetch, changes),
-            FeedEvent::Answered { fetch, answer } => self.answered(now, fetch, *answer),
+            FeedEvent::Answered { fetch, answer } => self.answered(now, fetch, &answer),
             FeedEvent::Failed { fetch, failure } => self.failed(now, fetch, &failure),
             FeedEvent::Asked { question, request } => self.asked(now, question, request),
             FeedEvent::Withdrawn { question } => {
--- a/crates/kernel/src/feed/section_reader.rs
+++ b/crates/kernel/src/feed/section_reader.rs
@@ -145,10 +145,10 @@
         list.revision.get_or_insert(page.revision);
         list.keys
             .extend(page.items.iter().map(|item| item.key.clone()));
-        let last = page.items.last().map(|item| item.key.clone());
-        if page.has_more && last.is_some() {
+        let end = page.items.last().map(|item| item.key.clone());
+        if page.has_more && end.is_some() {
             self.state = State::Listing { fetch, list };
-            return Err(last);
+            return Err(end);
         }
         self.must_list = false;
         self.has_lost_history = false;
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -20,6 +20,7 @@
 use super::peers::Choice;
 use super::section_reader::Next;
 use super::section_reader::STORE_WAIT;
+use super::section_reader::SectionReader;
 
 /// Time for which a peer may hold a question; a peer that is lost without a sign
 /// is noticed after this time and a little more.
@@ -212,7 +213,7 @@
 
     fn set_wake(&mut self, now: Time) {
         let reads_store = self.source == Some(SourceName::Store);
-        let readers = self.readers.iter().filter_map(|r| r.due());
+        let readers = self.readers.iter().filter_map(SectionReader::due);
         let due = readers
             .filter(|_| reads_store)
             .chain(self.questions.values().map(|q| q.until))
--- a/crates/kernel/src/feed/take.rs
+++ b/crates/kernel/src/feed/take.rs
@@ -102,7 +102,7 @@
     }
 
     /// Takes a peer's answer.
-    pub(super) fn answered(&mut self, now: Time, fetch: FetchId, answer: CatalogAnswer) {
+    pub(super) fn answered(&mut self, now: Time, fetch: FetchId, answer: &CatalogAnswer) {
         let asking = self.asking.take_if(|a| a.fetch == fetch);
         for (section, item) in &answer.items {
             let is_past = item.revision <= self.catalog.revision(*section);
@@ -111,7 +111,7 @@
             }
         }
         if answer.is_whole {
-            self.remove_missing(&answer);
+            self.remove_missing(answer);
         }
         for section in Section::ALL {
             let revision = answer.revisions[section.place()];
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -158,10 +158,10 @@
 
     /// Has the target examined, if that is due.
     pub(super) fn examine(&mut self, cx: &mut Context<'_>) {
-        let path = cx.view.own_service().and_then(|s| s.health.clone());
-        if let Some(path) = path
-            && self.admission.take_examination(cx.now.mono)
-        {
+        if !self.admission.take_examination(cx.now.mono) {
+            return;
+        }
+        if let Some(path) = cx.view.own_service().and_then(|s| s.health.clone()) {
             cx.actions.push(RequestAction::Examine { path });
         }
     }
--- a/crates/kernel/src/requests/admitting/pacer.rs
+++ b/crates/kernel/src/requests/admitting/pacer.rs
@@ -130,7 +130,7 @@
 
     /// Notes a sign that the target may have started again.
     pub(super) fn doubt(&mut self, now: Time) {
-        if matches!(self.standing, Standing::Warm | Standing::Cold(_)) {
+        if self.standing != Standing::Down {
             self.standing = Standing::Unsure;
             self.examine_at.get_or_insert(now);
         }
--- /dev/null
+++ b/crates/kernel/tests/paced.rs
@@ -0,0 +1,183 @@
+//! Targets that bear a rate while they are in cold start, and short queues.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::Health;
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_model::ColdStart;
+use celeryshore_model::Priority;
+use celeryshore_model::Rate;
+use celeryshore_model::Slots;
+use celeryshore_model::Snapshot;
+
+use crate::common::Mesh;
+use crate::common::deployment::DEADLINE;
+use crate::common::deployment::order;
+use crate::common::deployment::ordering;
+use crate::common::deployment::stock;
+use crate::common::deployment::tune;
+use crate::common::name;
+use crate::common::response;
+
+/// Requests in a second that a target in cold start bears.
+const COLD_RATE: usize = 10;
+/// Steps of 100 ms in a second.
+const STEPS: usize = 10;
+
+const WARM: Health = Health::Good {
+    cold_for: Duration::ZERO,
+};
+
+fn snapshot(slots: u32) -> Snapshot {
+    let mut snapshot = ordering(&["glasgow"]);
+    tune(&mut snapshot, |s| {
+        s.limits.slots = Slots::new(slots);
+        s.limits.queue = Slots::new(100);
+        s.limits.cold_start = Some(ColdStart {
+            rate: Rate::from_per_mille(10_000),
+            span: Duration::from_secs(3),
+        });
+    });
+    snapshot
+}
+
+/// Starts a node, and lets the time pass in which it takes its start for a freeze.
+fn mesh(snapshot: Snapshot) -> Mesh {
+    let mut mesh = Mesh::new(&Arc::new(snapshot));
+    mesh.advance(200);
+    mesh
+}
+
+/// Calls faster than a cold target bears; returns its requests in each step.
+fn press(mesh: &mut Mesh, steps: usize) -> Vec<usize> {
+    let mut counts = Vec::new();
+    for _ in 0..steps {
+        let before = mesh.history.len();
+        for _ in 0..4 {
+            mesh.call("vm-1", stock());
+        }
+        while !mesh.runs.is_empty() {
+            mesh.answer("");
+        }
+        mesh.advance(100);
+        counts.push(mesh.history.len() - before);
+    }
+    counts
+}
+
+fn most_in_a_second(counts: &[usize]) -> usize {
+    let sums = counts.windows(STEPS).map(|w| w.iter().sum());
+    sums.max().unwrap_or(0)
+}
+
+#[test]
+fn cold_rate() {
+    let mut mesh = mesh(snapshot(50));
+    let counts = press(&mut mesh, 30);
+    let most = most_in_a_second(&counts);
+    assert!((1..=COLD_RATE).contains(&most), "{counts:?}");
+}
+
+#[test]
+fn restarted_node() {
+    let snapshot = Arc::new(snapshot(50));
+    let mut mesh = mesh(snapshot.as_ref().clone());
+    let before = press(&mut mesh, STEPS);
+    mesh.start(&name("vm-1"), &snapshot);
+    let after = press(&mut mesh, STEPS);
+    let counts = [before, after].concat();
+    assert!(most_in_a_second(&counts) <= COLD_RATE, "{counts:?}");
+}
+
+#[test]
+fn examined_warm() {
+    let mut mesh = mesh(snapshot(50));
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    for _ in 0..40 {
+        mesh.call("vm-1", stock());
+    }
+    assert_eq!(mesh.runs.len(), 40);
+}
+
+#[test]
+fn doubted_again() {
+    let mut mesh = mesh(snapshot(50));
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    mesh.call("vm-1", order());
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Broken);
+    let counts = press(&mut mesh, STEPS);
+    assert!(most_in_a_second(&counts) <= COLD_RATE, "{counts:?}");
+}
+
+#[test]
+fn told_cold() {
+    let mut mesh = mesh(snapshot(50));
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    let cold_for = Duration::from_secs(2);
+    mesh.send("vm-1", RequestEvent::Cold { cold_for });
+    let counts = press(&mut mesh, 2 * STEPS);
+    assert!(most_in_a_second(&counts) <= COLD_RATE, "{counts:?}");
+    let counts = press(&mut mesh, STEPS);
+    assert!(most_in_a_second(&counts) > COLD_RATE, "{counts:?}");
+}
+
+#[test]
+fn urgent_first() {
+    let mut snapshot = snapshot(1);
+    tune(&mut snapshot, |s| {
+        for kind in s.kinds.values_mut() {
+            let is_order = kind.name.as_str() == "order";
+            kind.priority = Priority::new(if is_order { 0 } else { 2 });
+        }
+    });
+    let mut mesh = mesh(snapshot);
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    mesh.call("vm-1", stock());
+    mesh.call("vm-1", stock());
+    mesh.call("vm-1", order());
+    mesh.answer("");
+    assert_eq!(mesh.runs[0].request.path, order().path);
+}
+
+#[test]
+fn short_queue() {
+    let mut snapshot = snapshot(1);
+    tune(&mut snapshot, |s| {
+        for kind in s.kinds.values_mut() {
+            kind.target_latency = Some(Duration::from_millis(200));
+        }
+    });
+    let mut mesh = mesh(snapshot);
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    for _ in 0..40 {
+        mesh.call("vm-1", stock());
+        mesh.advance(40);
+        mesh.answer("");
+    }
+    let calls: Vec<_> = (0..20).map(|_| mesh.call("vm-1", stock())).collect();
+    let refused = calls.iter().filter(|call| {
+        let answer = mesh.answers.get(call);
+        matches!(answer, Some(Answer::NotRun { .. }))
+    });
+    // One runs, and two wait at most half of 200 ms behind it.
+    assert!(refused.count() >= 16, "the rest is refused at once");
+}
+
+#[test]
+fn hopeless_work() {
+    let mut mesh = mesh(snapshot(1));
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    mesh.call("vm-1", stock());
+    let waiting = mesh.call("vm-1", stock());
+    mesh.advance(DEADLINE - 12);
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Answered(response(200, "")));
+    assert!(mesh.runs.is_empty(), "too late to begin");
+    assert!(matches!(mesh.answers[&waiting], Answer::NotRun { .. }));
+}
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -5,5 +5,6 @@
 mod drain;
 mod hand_over;
 mod ports;
+mod published;
 mod settings;
 mod support;
--- /dev/null
+++ b/crates/node/tests/published.rs
@@ -0,0 +1,269 @@
+//! A node on a platform that is met through its adapter, with stand-ins for the
+//! platform's store and for the target.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use celeryshore_platform as _;
+
+use crate::support;
+use crate::support::Caller;
+use crate::support::Fake;
+use crate::support::Vm;
+use crate::support::call;
+use crate::support::read_message;
+use crate::support::wait_for;
+
+const CONFIG: &str = r#"{"version":"r3","limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
+"headerTimeout":"3000ms","idleTimeout":"15000ms"},"listeners":[{"host":"mesh","rules":[
+{"name":"look","kind":"safe","targetLatency":"300ms","priority":2,"match":{"prefix":"/look/"},
+"action":{"service":"desk","timeout":"2000ms","maxAttempts":2}},
+{"name":"sign","kind":"unsafe","targetLatency":"300ms","priority":1,"match":{"prefix":"/sign/"},
+"action":{"service":"desk","timeout":"2000ms","maxAttempts":2}}]}],
+"clusters":[{"name":"desk","healthPath":"/health","maxConnections":20,"coldStart":"3s","coldPerS":50}]}"#;
+
+/// Encodes a value as the store does.
+fn base64(text: &str) -> String {
+    const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut out = String::new();
+    for chunk in text.as_bytes().chunks(3) {
+        let bits = chunk
+            .iter()
+            .fold(0_u32, |bits, b| bits << 8 | u32::from(*b));
+        let bits = bits << (8 * (3 - chunk.len()));
+        for i in 0..4 {
+            let digit = DIGITS[(bits >> (18 - 6 * i) & 63) as usize];
+            out.push(if i <= chunk.len() { digit.into() } else { '=' });
+        }
+    }
+    out
+}
+
+fn start_store(vm: Vm) -> Fake {
+    let entry = format!(
+        r#"{{"address":"{}","info":{{"service":"desk","version":"v1","zone":"glasgow","slots":4}},
+        "status":{{"state":"ready","sequence":1,"coldRemaining":"0ms"}}}}"#,
+        vm.target()
+    );
+    Fake::start(vm.platform(), move |mut stream| {
+        while let Some((head, _)) = read_message(&mut stream) {
+            let (key, value) = if head.contains("servers") {
+                ("servers/i-1", &entry[..])
+            } else {
+                ("op/config", CONFIG)
+            };
+            let value = base64(value);
+            let body = if head.contains("kv-watch") {
+                thread::sleep(Duration::from_millis(500));
+                r#"{"events":[],"storeRevision":9}"#.to_owned()
+            } else {
+                format!(
+                    r#"{{"items":[{{"key":"{key}","value":"{value}","revision":8}}],
+                    "hasMore":false,"storeRevision":9}}"#
+                )
+            };
+            if reply(&mut stream, "", &body).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+fn reply(stream: &mut TcpStream, fields: &str, body: &str) -> std::io::Result<()> {
+    let length = body.len();
+    stream.write_all(
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n{fields}\r\n{body}").as_bytes(),
+    )
+}
+
+/// Returns the value of a field of a request.
+fn field(head: &str, name: &str) -> String {
+    let fields = head.lines().filter_map(|line| line.split_once(": "));
+    let mut values = fields.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+    values
+        .next()
+        .map_or_else(String::new, |(_, v)| v.to_owned())
+}
+
+type Heads = Arc<Mutex<Vec<String>>>;
+
+/// Starts a target that signs its answers, and a node beside it.
+fn start(answer: fn(&mut TcpStream, &str) -> bool) -> (celeryshore_node::Node, Vm, Heads) {
+    let vm = Vm::next();
+    start_store(vm);
+    let heads = Heads::default();
+    let seen = heads.clone();
+    Fake::start(vm.target(), move |mut stream| {
+        while let Some((head, _)) = read_message(&mut stream) {
+            if head.contains("/health") {
+                let _ = reply(&mut stream, "celeryshore-cold-ms: 0\r\n", "");
+                continue;
+            }
+            seen.lock().unwrap().push(head.clone());
+            if !answer(&mut stream, &head) {
+                return;
+            }
+        }
+    });
+    let ip = vm.callers().ip();
+    let settings = support::settings(vm, vm, "").replace("vm: vm-1", &format!("vm: {ip}"));
+    let settings = settings.replace(
+        "  key: celeryshore/rules\n",
+        "  adapter: published-store\nservice: desk\n",
+    );
+    let settings = format!("{settings}ready: {}\n", vm.ready());
+    let node = support::start_unready(&settings);
+    wait_for(|| call(vm.ready(), "GET", "/v1/ready", "").status() == 200);
+    let is_warm = || call(vm.operators(), "GET", "/status", "").body.contains("\"warm\"");
+    wait_for(is_warm);
+    (node, vm, heads)
+}
+
+/// Answers with the request's number and a signature.
+fn signed(stream: &mut TcpStream, head: &str) -> bool {
+    let id = field(head, "celeryshore-request-id");
+    let fields = format!("celeryshore-request-id: {id}\r\nceleryshore-response-signature: s\r\n");
+    if head.contains("/slow") {
+        thread::sleep(Duration::from_millis(150));
+    }
+    reply(stream, &fields, &id).is_ok()
+}
+
+fn request(method: &str, path: &str, id: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: mesh\r\ncontent-length: 0\r\n\
+         celeryshore-request-id: {id}\r\nceleryshore-deadline-ms: 1500\r\n\
+         celeryshore-caller-service: forged\r\n\r\n"
+    )
+}
+
+#[test]
+fn whole_path() {
+    let (_node, vm, heads) = start(signed);
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("POST", "/sign/1", "a1"));
+    let response = caller.receive().expect("an answer");
+    assert_eq!((response.status(), &response.body[..]), (200, "a1"));
+    assert_eq!(response.field("celeryshore-response-signature"), Some("s"));
+    let head = heads.lock().unwrap()[0].clone();
+    assert_eq!(field(&head, "celeryshore-expected-instance"), "i-1");
+    assert_eq!(field(&head, "celeryshore-caller-service"), "desk");
+    let left: u32 = field(&head, "celeryshore-deadline-ms").parse().unwrap();
+    assert!((1_000..=1_500).contains(&left), "{left}");
+    assert_eq!(call(vm.callers(), "GET", "/none/", "").status(), 404);
+}
+
+#[test]
+fn answers_in_order() {
+    let (_node, vm, _) = start(signed);
+    let mut caller = Caller::connect(vm.callers());
+    let requests = [
+        request("GET", "/look/slow", "b1"),
+        request("GET", "/look/2", "b2"),
+        request("GET", "/look/3", "b3"),
+    ];
+    caller.send(requests.concat());
+    for id in ["b1", "b2", "b3"] {
+        assert_eq!(caller.receive().expect("an answer").body, id);
+    }
+}
+
+#[test]
+fn chunked_body() {
+    let (_node, vm, _) = start(signed);
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(
+        "POST /sign/1 HTTP/1.1\r\nhost: mesh\r\ntransfer-encoding: chunked\r\n\
+         celeryshore-request-id: c1\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n",
+    );
+    caller.send(request("GET", "/look/1", "c2"));
+    assert_eq!(caller.receive().expect("an answer").body, "c1");
+    assert_eq!(caller.receive().expect("an answer").body, "c2");
+}
+
+#[test]
+fn stray_answer() {
+    let (_node, vm, _) = start(|stream, head| {
+        let stray = "celeryshore-request-id: other\r\nceleryshore-response-signature: s\r\n";
+        reply(stream, stray, "other").is_ok() && signed(stream, head)
+    });
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("POST", "/sign/1", "d1"));
+    assert_eq!(caller.receive().expect("an answer").body, "d1");
+}
+
+#[test]
+fn open_body() {
+    let (_node, vm, _) = start(|stream, head| {
+        let id = field(head, "celeryshore-request-id");
+        let _ = stream.write_all(
+            format!(
+                "HTTP/1.1 200 OK\r\ncelery-x: 1\r\nceleryshore-request-id: {id}\r\n\
+                 celeryshore-response-signature: s\r\n\r\nto the end"
+            )
+            .as_bytes(),
+        );
+        false
+    });
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("POST", "/sign/1", "e1"));
+    let response = caller.receive().expect("an answer");
+    assert_eq!((response.status(), &response.body[..]), (200, "to the end"));
+}
+
+#[test]
+fn unsigned_success() {
+    let (_node, vm, _) = start(|stream, _| reply(stream, "", "not the target's").is_ok());
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("POST", "/sign/1", "f1"));
+    assert_eq!(caller.receive().expect("an answer").status(), 502);
+}
+
+#[test]
+fn not_executed() {
+    let (_node, vm, _) = start(|stream, _| {
+        let answer = "HTTP/1.1 503 Service Unavailable\r\nceleryshore-not-executed: 1\r\n\
+                      content-length: 0\r\n\r\n";
+        stream.write_all(answer.as_bytes()).is_ok()
+    });
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("POST", "/sign/1", "g1"));
+    let response = caller.receive().expect("an answer");
+    assert_eq!(response.status(), 503);
+    let after: f64 = response.field("retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0);
+}
+
+#[test]
+fn other_target() {
+    let (_node, vm, heads) = start(|stream, _| {
+        let answer = "HTTP/1.1 421 Misdirected Request\r\nceleryshore-instance-id: i-2\r\n\
+                      content-length: 0\r\n\r\n";
+        stream.write_all(answer.as_bytes()).is_ok()
+    });
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("POST", "/sign/1", "h1"));
+    assert_eq!(caller.receive().expect("an answer").status(), 503);
+    assert_eq!(heads.lock().unwrap().len(), 1);
+}
+
+#[test]
+fn caller_gone() {
+    let (_node, vm, heads) = start(|stream, _| {
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+        let gone = read_message(stream).is_none();
+        assert!(gone);
+        false
+    });
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("GET", "/look/1", "i1"));
+    wait_for(|| !heads.lock().unwrap().is_empty());
+    drop(caller);
+    let mut next = Caller::connect(vm.callers());
+    next.send(request("GET", "/look/1", "i2"));
+    wait_for(|| heads.lock().unwrap().len() == 2);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -76,6 +76,10 @@
         self.port(7_050)
     }
 
+    pub fn ready(self) -> SocketAddr {
+        self.port(7_060)
+    }
+
     fn port(self, port: u16) -> SocketAddr {
         (self.ip, port).into()
     }
@@ -122,15 +126,20 @@
 
 /// Starts a node and waits until a configuration is in force.
 pub fn start(text: &str) -> Node {
+    let node = start_unready(text);
+    let callers = node.addresses().callers;
+    wait_for(|| call(callers, "GET", "/none", "").reason() == Some("no-route"));
+    node
+}
+
+/// Starts a node.
+pub fn start_unready(text: &str) -> Node {
     THREADS.call_once(|| {
         thread::spawn(|| async_io::block_on(EXECUTOR.run(future::pending::<()>())));
     });
     let settings: Settings = text.parse().unwrap();
-    let callers = settings.callers;
     let (log, _) = celeryshore_node::logger(LogLevel::Critical);
-    let node = Node::start(&EXECUTOR, settings, log).unwrap();
-    wait_for(|| call(callers, "GET", "/none", "").reason() == Some("no-route"));
-    node
+    Node::start(&EXECUTOR, settings, log).unwrap()
 }
 
 /// Drains a node in the background.
--- a/crates/trials/src/scenario/naive.rs
+++ b/crates/trials/src/scenario/naive.rs
@@ -43,10 +43,8 @@
         match event {
             Event::Fleet(FleetEvent::Tick) => self.poll(now, actions),
             Event::Fleet(FleetEvent::Read { answer, .. }) => self.apply(now, answer, actions),
-            Event::Fleet(_) => {}
             Event::Request(event) => self.on_request(now, event, actions),
-            // Nodes of scenarios follow rules texts.
-            Event::Feed(_) => {}
+            Event::Fleet(_) | Event::Feed(_) => {}
         }
     }
 
