Spread the requests to a cold target over each second, and use their slack

The whole rate of a second was spent in its first moments, so that everything else, urgent or not, was refused for the rest. Ruled out: late reading of the store; nodes had the configuration 20 ms after their start. Change: a quarter of the rate in a quarter of a second, so that waits stay short and urgent requests find room; the platform's slack counts, less two.

--- a/crates/kernel/src/requests/admitting/pacer.rs
+++ b/crates/kernel/src/requests/admitting/pacer.rs
@@ -15,6 +15,11 @@
 
 /// Span in which the requests to a cold target are counted.
 const WINDOW: Duration = Duration::from_secs(1);
+/// Parts of the window over which the requests are spread, so that urgent ones
+/// soon find room and the target is not given all of them at once.
+const PARTS: usize = 4;
+/// Length of a part.
+const PART: Duration = Duration::from_millis(250);
 /// Time between two examinations of a target of which nothing certain is known.
 /// A process takes longer than this to start.
 const EXAMINE_INTERVAL: Duration = Duration::from_millis(250);
@@ -83,7 +88,9 @@
             Standing::Warm => true,
             Standing::Cold(until) if until <= now => true,
             Standing::Cold(_) | Standing::Unsure => {
-                now >= self.full_until && self.in_window(now) < self.allowed
+                now >= self.full_until
+                    && self.sent_within(now, WINDOW) < self.allowed
+                    && self.sent_within(now, PART) < self.allowed_in_part()
             }
             Standing::Down => false,
         }
@@ -95,9 +102,10 @@
             Standing::Warm | Standing::Down => None,
             Standing::Cold(until) if until <= now => None,
             Standing::Cold(_) | Standing::Unsure => {
-                let oldest = self.sent.len().checked_sub(self.allowed);
-                let frees = oldest.and_then(|i| self.sent.get(i)).map(|at| *at + WINDOW);
-                frees.max(Some(self.full_until)).filter(|at| *at > now)
+                let whole = self.frees_at(self.allowed, WINDOW);
+                let part = self.frees_at(self.allowed_in_part(), PART);
+                let at = [whole, part, Some(self.full_until)];
+                at.into_iter().flatten().max().filter(|at| *at > now)
             }
         }
     }
@@ -107,9 +115,10 @@
         if matches!(self.standing, Standing::Warm) || self.admits(now) {
             return Duration::ZERO;
         }
-        let next = self.next_at(now).map_or(WINDOW, |at| at - now);
-        let rounds = u32::try_from(ahead / self.allowed).unwrap_or(u32::MAX);
-        next + WINDOW.saturating_mul(rounds)
+        let next = self.next_at(now).map_or(PART, |at| at - now);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let allowed = u32::try_from(self.allowed).unwrap_or(u32::MAX);
+        next + WINDOW.saturating_mul(ahead) / allowed
     }
 
     /// Notes that the target gets a request.
@@ -181,7 +190,17 @@
         }
     }
 
-    fn in_window(&self, now: Time) -> usize {
-        self.sent.iter().filter(|at| now - **at <= WINDOW).count()
+    fn allowed_in_part(&self) -> usize {
+        self.allowed.div_ceil(PARTS)
+    }
+
+    fn sent_within(&self, now: Time, span: Duration) -> usize {
+        self.sent.iter().filter(|at| now - **at <= span).count()
+    }
+
+    /// Returns when fewer than `most` requests lie within a span.
+    fn frees_at(&self, most: usize, span: Duration) -> Option<Time> {
+        let oldest = self.sent.len().checked_sub(most)?;
+        self.sent.get(oldest).map(|at| *at + span)
     }
 }
--- a/crates/kernel/src/requests/terms.rs
+++ b/crates/kernel/src/requests/terms.rs
@@ -5,6 +5,10 @@
 use celeryshore_model::ServiceName;
 use celeryshore_model::Share;
 
+/// Requests of the slack that are left unused, for those that arrive in another
+/// second than they were sent in.
+const MARGIN: u32 = 2;
+
 /// What a platform demands of the requests on it. The default are the product's
 /// own terms, where nothing but the rules counts.
 #[derive(Clone, Debug, Default)]
@@ -37,18 +41,24 @@
 pub struct ColdStartTerms {
     /// Times the rate that it bears by its own account.
     pub factor: f64,
+    /// Requests in a second beyond that.
+    pub slack: u32,
 }
 
 impl Default for ColdStartTerms {
     fn default() -> Self {
-        Self { factor: 1.0 }
+        Self {
+            factor: 1.0,
+            slack: 0,
+        }
     }
 }
 
 impl ColdStartTerms {
     /// Returns how many requests a target in cold start may get in a second.
     pub(super) fn allowed(self, rate: Rate) -> usize {
-        let allowed = rate.scaled(self.factor).whole();
+        let slack = self.slack.saturating_sub(MARGIN);
+        let allowed = rate.scaled(self.factor).whole() + u64::from(slack);
         usize::try_from(allowed).unwrap_or(usize::MAX).max(1)
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -286,6 +286,7 @@
 
 fn terms(settings: &Settings, store: &Store) -> Terms {
     const PER_MILLE: f64 = 1_000.0;
+    let default = ColdStartTerms::default();
     let factor = settings.terms.cold_load;
     let share = settings.terms.retry_ratio.and_then(|ratio| {
         let per_mille = format!("{:.0}", ratio * PER_MILLE).parse().ok()?;
@@ -294,7 +295,10 @@
     Terms {
         dialect: store.adapter.dialect(),
         service: settings.service.clone(),
-        cold_start: factor.map_or_else(ColdStartTerms::default, |factor| ColdStartTerms { factor }),
+        cold_start: ColdStartTerms {
+            factor: factor.unwrap_or(default.factor),
+            slack: settings.terms.cold_slack.unwrap_or(default.slack),
+        },
         retry: RetryTerms {
             slack: settings.terms.retry_slack,
             share,
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -67,7 +67,10 @@
 
 fn check_terms(settings: &Settings) -> Result<()> {
     let terms = &settings.terms;
-    if terms.cold_load.is_some_and(|factor| factor <= 0.0 || factor.is_nan()) {
+    if terms
+        .cold_load
+        .is_some_and(|factor| factor <= 0.0 || factor.is_nan())
+    {
         return Err(Error::range("terms.cold_load", "a factor above 0"));
     }
     if terms
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -120,6 +120,9 @@
     /// Times the rate that a target in cold start bears by its own account.
     #[serde(default)]
     pub cold_load: Option<f64>,
+    /// Requests in a second that it may get beyond that.
+    #[serde(default)]
+    pub cold_slack: Option<u32>,
     /// Retries as a share of first attempts.
     #[serde(default)]
     pub retry_ratio: Option<f64>,
--- a/crates/node/tests/published.rs
+++ b/crates/node/tests/published.rs
@@ -118,7 +118,11 @@
     let settings = format!("{settings}ready: {}\n", vm.ready());
     let node = support::start_unready(&settings);
     wait_for(|| call(vm.ready(), "GET", "/v1/ready", "").status() == 200);
-    let is_warm = || call(vm.operators(), "GET", "/status", "").body.contains("\"warm\"");
+    let is_warm = || {
+        call(vm.operators(), "GET", "/status", "")
+            .body
+            .contains("\"warm\"")
+    };
     wait_for(is_warm);
     (node, vm, heads)
 }
