--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -7,7 +7,7 @@
 
 use crate::LogLevel;
 
-/// Makes the logger of the process, which writes to standard error. Records are
+/// Makes the logger of the process, which writes to standard output. Records are
 /// written out when the guard is dropped at the latest.
 ///
 /// # Example
@@ -19,7 +19,7 @@
 /// slog::info!(log, "node: example");
 /// ```
 pub fn logger(level: LogLevel) -> (Logger, AsyncGuard) {
-    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+    let decorator = slog_term::PlainDecorator::new(std::io::stdout());
     let format = slog_term::FullFormat::new(decorator).build().fuse();
     let leveled = format.filter_level(level.into()).fuse();
     let (drain, guard) = slog_async::Async::new(leveled).build_with_guard();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -140,6 +140,8 @@
             tasks.push(ex.spawn(driver.clone().tick_fleet()));
             tasks.push(ex.spawn(target::watch(driver.clone(), settings.health)));
         }
+        slog::info!(driver.log(), "node: started"; "callers" => %addresses.callers,
+            "peer" => %addresses.peer, "operators" => %addresses.operators);
         if let Some(control) = ports.control {
             tasks.extend(control::start(ex, &driver, control, settings.platform));
         }
--- a/crates/node/tests/drain.rs
+++ b/crates/node/tests/drain.rs
@@ -85,10 +85,10 @@
     std::fs::write(&path, support::settings(vm, vm, "")).unwrap();
     let mut process = Command::new(env!("CARGO_BIN_EXE_celeryshore"))
         .args(["--settings", &path])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let stderr = BufReader::new(process.stderr.take().unwrap());
+    let stdout = BufReader::new(process.stdout.take().unwrap());
     support::wait_for(|| TcpStream::connect(vm.callers()).is_ok());
     support::wait_for(|| call(vm.callers(), "GET", "/none", "").reason() == Some("no-route"));
     let mut caller = Caller::connect(vm.callers());
@@ -98,6 +98,6 @@
     assert!(kill.unwrap().success());
     assert_eq!(caller.receive().expect("an answer").body, "whole");
     assert_eq!(process.wait().unwrap().code(), Some(0));
-    let log: Vec<_> = stderr.lines().map_while(Result::ok).collect();
+    let log: Vec<_> = stdout.lines().map_while(Result::ok).collect();
     assert!(log.last().unwrap().ends_with("node: drained"), "{log:?}");
 }
