Split the own target's standing and the request log into files of their own

Change: own_target.rs, crash.rs and report.rs hold what they name; HeadInput; ratios are shares instead of floating point numbers; one check for another sound upstream. Ruled out: any change of behaviour; tests of model, kernel, node and adapter pass.

--- a/crates/kernel/src/requests/admitting/crash.rs
+++ b/crates/kernel/src/requests/admitting/crash.rs
@@ -5,14 +5,18 @@
 
 use std::time::Duration;
 
+use celeryshore_model::Depth;
 use celeryshore_model::Digest;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::KindId;
 use celeryshore_model::Time;
 
 use super::Admitting;
+use super::work::Work;
 use crate::Delivery;
 use crate::Handover;
+use crate::requests::CrashEvidence;
+use crate::requests::Outcome;
 use crate::requests::context::Context;
 
 /// Time between the loss of answers and the sign that their target is gone: an
@@ -44,6 +48,22 @@
 }
 
 impl Admitting {
+    /// Records what an outcome says of a request that may crash targets.
+    pub(super) fn suspect(&mut self, cx: &mut Context<'_>, work: &Work, outcome: &Outcome) {
+        let fingerprint = work.handover.fingerprint;
+        let is_lost = cx.view.cfg().terms.crash_evidence == CrashEvidence::LostAnswer;
+        match outcome {
+            Outcome::Answered(_) => cx.suspicions.clear(&fingerprint),
+            Outcome::Broken | Outcome::Silent if is_lost => {
+                let own = [cx.view.cfg().vm.clone()];
+                cx.suspicions.record(cx.now.mono, fingerprint, &own);
+            }
+            Outcome::Broken => self.losses.note(cx.now.mono, &work.handover),
+            Outcome::Silent => {}
+            Outcome::NeverSent => self.target_gone(cx),
+        }
+    }
+
     /// Suspects the requests that were lost with a target that is gone, and
     /// tells the other nodes of the service.
     pub(super) fn target_gone(&mut self, cx: &mut Context<'_>) {
@@ -70,7 +90,7 @@
             kind: kind.clone(),
             delivery: Delivery::Repeatable,
             remaining: Duration::ZERO,
-            depth: celeryshore_model::Depth::default(),
+            depth: Depth::default(),
             fingerprint,
             casualties: cx.suspicions.casualties(&fingerprint),
             max_wait: None,
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -11,6 +11,7 @@
 mod latency;
 mod limit;
 mod outcome;
+mod own_target;
 mod pacer;
 mod parking;
 mod queue;
@@ -23,10 +24,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
-use celeryshore_model::UpstreamName;
 use celeryshore_model::VmName;
 
 use self::admission::Admission;
@@ -37,6 +36,7 @@
 use self::crash::Losses;
 use self::judgement::Judgement;
 use self::limit::Evidence;
+use self::own_target::OwnTarget;
 use self::strangers::Strangers;
 use self::task::JudgementId;
 use self::task::ParkedId;
@@ -46,12 +46,10 @@
 use self::work::Work;
 use self::work::WorkState;
 use crate::Handover;
-use crate::Health;
 use crate::NotRun;
 use crate::Phase;
 use crate::Reply;
 use crate::ReplyOutcome;
-use crate::requests::CrashEvidence;
 use crate::requests::ExchangeId;
 use crate::requests::Journal;
 use crate::requests::JournalConfig;
@@ -70,9 +68,6 @@
 /// Most time that is kept for the way of the reply.
 const MAX_REPLY_MARGIN: Duration = Duration::from_millis(5);
 
-/// Name and life of the own target, and whether it is out of service.
-type OwnTarget = (UpstreamName, Incarnation, bool);
-
 /// Work at this node's own target.
 #[derive(Debug)]
 pub(super) struct Admitting {
@@ -141,49 +136,6 @@
         }
     }
 
-    /// Takes the time for which the target says that it stays in cold start.
-    pub(super) fn told_cold(&mut self, cx: &mut Context<'_>, cold_for: Duration) {
-        self.admission.told(cx.now.mono, cold_for);
-    }
-
-    /// Takes what an examination of the target showed.
-    pub(super) fn examined(&mut self, cx: &mut Context<'_>, health: Health) {
-        if health == Health::Unreachable {
-            self.target_gone(cx);
-        }
-        self.admission.examined(cx.now.mono, health);
-        self.refuse_late(cx);
-        self.fill(cx);
-    }
-
-    /// Has the target examined, if that is due.
-    pub(super) fn examine(&mut self, cx: &mut Context<'_>) {
-        if !self.admission.take_examination(cx.now.mono) {
-            return;
-        }
-        if let Some(path) = cx.view.own_service().and_then(|s| s.health.clone()) {
-            cx.actions.push(RequestAction::Examine { path });
-        }
-    }
-
-    /// Doubts a target that has started again or that comes back into service,
-    /// since it may be in cold start.
-    fn observe_own(&mut self, cx: &mut Context<'_>) {
-        let own = cx.view.own();
-        let standing = own.map(|own| (own.name.clone(), own.life, cx.view.is_own_out()));
-        if standing == self.own {
-            return;
-        }
-        let was_out = self.own.as_ref().is_some_and(|(_, _, out)| *out);
-        let is_same = |a: &OwnTarget, b: &OwnTarget| a.0 == b.0 && a.1 == b.1;
-        let pair = self.own.as_ref().zip(standing.as_ref());
-        let has_restarted = pair.is_none_or(|(old, new)| !is_same(old, new));
-        if was_out || has_restarted {
-            self.admission.doubt(cx.now.mono);
-        }
-        self.own = standing;
-    }
-
     /// Takes a request from a handing node.
     pub(super) fn received(
         &mut self,
@@ -344,22 +296,6 @@
         }
     }
 
-    /// Records what an outcome says of a request that may crash targets.
-    fn suspect(&mut self, cx: &mut Context<'_>, work: &Work, outcome: &Outcome) {
-        let fingerprint = work.handover.fingerprint;
-        let is_lost = cx.view.cfg().terms.crash_evidence == CrashEvidence::LostAnswer;
-        match outcome {
-            Outcome::Answered(_) => cx.suspicions.clear(&fingerprint),
-            Outcome::Broken | Outcome::Silent if is_lost => {
-                let own = [cx.view.cfg().vm.clone()];
-                cx.suspicions.record(cx.now.mono, fingerprint, &own);
-            }
-            Outcome::Broken => self.losses.note(cx.now.mono, &work.handover),
-            Outcome::Silent => {}
-            Outcome::NeverSent => self.target_gone(cx),
-        }
-    }
-
     fn reply(&self, cx: &mut Context<'_>, origin: Origin, outcome: ReplyOutcome) {
         let reply = Reply {
             outcome,
--- a/crates/kernel/src/requests/handing/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -101,11 +101,6 @@
         Some(upstream.clone())
     }
 
-    /// Tells whether there is another upstream to which the call may go.
-    pub(super) fn has_other(&self, cx: &Context<'_>, call: &Call) -> bool {
-        self.has_sound(cx, call)
-    }
-
     /// Tells whether there is an upstream in order that the call has not been
     /// handed to.
     pub(super) fn has_sound(&self, cx: &Context<'_>, call: &Call) -> bool {
--- a/crates/kernel/src/requests/handing/mod.rs
+++ b/crates/kernel/src/requests/handing/mod.rs
@@ -196,7 +196,7 @@
         };
         let is_retry = !call.tried.is_empty();
         call.tried.push(upstream.name.clone());
-        let has_others = call.refusals + 1 < MAX_REFUSALS && self.balancer.has_other(cx, &call);
+        let has_others = call.refusals + 1 < MAX_REFUSALS && self.balancer.has_sound(cx, &call);
         let handover = call.handover(cx, &upstream, has_others);
         let exchange = cx.send(&upstream, Box::new(handover).into(), call.deadline);
         let now = cx.now.mono;
--- a/crates/kernel/src/requests/terms.rs
+++ b/crates/kernel/src/requests/terms.rs
@@ -5,6 +5,7 @@
 use celeryshore_model::ServiceName;
 use celeryshore_model::Share;
 
+const WHOLE: Share = Share::from_per_mille(1_000);
 /// Requests of the slack that are left unused, for those that arrive in another
 /// second than they were sent in.
 const MARGIN: u32 = 2;
@@ -37,10 +38,10 @@
 }
 
 /// Bound on the load of a target in cold start.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ColdStartTerms {
-    /// Times the rate that it bears by its own account.
-    pub factor: f64,
+    /// Share of the rate that it bears by its own account; may be over the whole.
+    pub share: Share,
     /// Requests in a second beyond that.
     pub slack: u32,
 }
@@ -48,7 +49,7 @@
 impl Default for ColdStartTerms {
     fn default() -> Self {
         Self {
-            factor: 1.0,
+            share: WHOLE,
             slack: 0,
         }
     }
@@ -58,7 +59,7 @@
     /// Returns how many requests a target in cold start may get in a second.
     pub(super) fn allowed(self, rate: Rate) -> usize {
         let slack = self.slack.saturating_sub(MARGIN);
-        let allowed = rate.scaled(self.factor).whole() + u64::from(slack);
+        let allowed = rate.times(self.share).whole() + u64::from(slack);
         usize::try_from(allowed).unwrap_or(usize::MAX).max(1)
     }
 }
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -187,10 +187,11 @@
 ///
 /// ```
 /// use celeryshore_model::Rate;
+/// use celeryshore_model::Share;
 ///
 /// let rate: Rate = "9.5/s".parse()?;
 /// assert_eq!(rate, Rate::from_per_mille(9_500));
-/// assert_eq!(rate.scaled(1.5).whole(), 14);
+/// assert_eq!(rate.times(Share::from_per_mille(1_500)).whole(), 14);
 /// assert_eq!(rate.to_string(), "9.5/s");
 /// # Ok::<(), celeryshore_model::Error>(())
 /// ```
@@ -206,15 +207,11 @@
 
     /// Makes a rate from requests in a second; none if the number is no rate.
     #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the range is checked first"
-    )]
     pub fn from_f64(per_second: f64) -> Option<Self> {
-        const MOST: f64 = 1e12;
-        let is_rate = (0.0..=MOST).contains(&per_second);
-        is_rate.then(|| Self((per_second * 1_000.0).round() as u64))
+        format!("{:.0}", per_second * 1_000.0)
+            .parse()
+            .ok()
+            .map(Self)
     }
 
     /// Returns the whole requests in a second, rounded down.
@@ -223,11 +220,10 @@
         self.0 / 1_000
     }
 
-    /// Returns the rate times a factor; unchanged if the factor is no number.
+    /// Returns this rate times a share, which may be more than the whole.
     #[must_use]
-    #[allow(clippy::cast_precision_loss, reason = "rates are far below 2^53")]
-    pub fn scaled(self, factor: f64) -> Self {
-        Self::from_f64(self.0 as f64 * factor / 1_000.0).unwrap_or(self)
+    pub const fn times(self, share: Share) -> Self {
+        Self(share.of(self.0))
     }
 }
 
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -3,6 +3,7 @@
 mod feed;
 mod pending;
 mod quota;
+mod report;
 mod wake;
 
 use std::future::Future;
@@ -31,7 +32,6 @@
 use celeryshore_kernel::PeerRequest;
 use celeryshore_kernel::RequestAction;
 use celeryshore_kernel::RequestEvent;
-use celeryshore_kernel::RequestReport;
 use celeryshore_kernel::WorkId;
 use celeryshore_model::CallerLimits;
 use celeryshore_model::Dialect;
@@ -295,18 +295,6 @@
         }
     }
 
-    /// Logs a decision, unless too many were logged in this second.
-    fn report_request(&self, report: &RequestReport) {
-        if let Some(left_out) = self.log_quota.take(Instant::now()) {
-            let request = report.request.as_deref().map(String::from_utf8_lossy);
-            slog::info!(self.log, "requests: {}", report;
-                "request" => request.unwrap_or_default().as_ref(),
-                "remaining_ms" => report.remaining.as_millis(),
-                "version" => %report.version.index,
-                "left_out" => left_out);
-        }
-    }
-
     fn exchange(
         self: &Arc<Self>,
         exchange: ExchangeId,
--- a/crates/node/src/http/feed.rs
+++ b/crates/node/src/http/head_input.rs
@@ -15,18 +15,18 @@
 
 /// Bytes that were read already.
 #[derive(Clone)]
-pub(super) struct Feed {
+pub(super) struct HeadInput {
     ready: Arc<Mutex<Bytes>>,
 }
 
-impl Feed {
+impl HeadInput {
     pub(super) fn new(ready: Bytes) -> Self {
         let ready = Arc::new(Mutex::new(ready));
         Self { ready }
     }
 }
 
-impl AsyncRead for Feed {
+impl AsyncRead for HeadInput {
     fn poll_read(
         self: Pin<&mut Self>,
         _: &mut Context<'_>,
@@ -40,7 +40,7 @@
 }
 
 /// The codec writes only interim answers, which the connection sends itself.
-impl AsyncWrite for Feed {
+impl AsyncWrite for HeadInput {
     fn poll_write(
         self: Pin<&mut Self>,
         _: &mut Context<'_>,
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -5,9 +5,9 @@
 //! the codec only what it has checked.
 
 mod connection;
-mod feed;
 mod field;
 mod head;
+mod head_input;
 mod request;
 mod response;
 
--- a/crates/node/src/http/request.rs
+++ b/crates/node/src/http/request.rs
@@ -17,11 +17,11 @@
 use crate::error::Protocol;
 use crate::http::Connection;
 use crate::http::MessageLimits;
-use crate::http::feed::Feed;
 use crate::http::field;
 use crate::http::head;
 use crate::http::head::Framing;
 use crate::http::head::Head;
+use crate::http::head_input::HeadInput;
 
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -65,8 +65,8 @@
 }
 
 async fn decode(text: Bytes, body: Bytes) -> Result<HttpRequest> {
-    let feed = Feed::new(text.clone());
-    let decoded = Box::pin(server::decode(feed)).await?;
+    let input = HeadInput::new(text.clone());
+    let decoded = Box::pin(server::decode(input)).await?;
     let (req, _) = decoded.ok_or(Protocol::Head)?;
     to_model(&req, &text, body)
 }
--- a/crates/node/src/http/response.rs
+++ b/crates/node/src/http/response.rs
@@ -14,10 +14,10 @@
 use crate::error::Protocol;
 use crate::http::Connection;
 use crate::http::MessageLimits;
-use crate::http::feed::Feed;
 use crate::http::field;
 use crate::http::head::Framing;
 use crate::http::head::Head;
+use crate::http::head_input::HeadInput;
 use crate::http::request::ascii;
 
 const SUCCESS: u16 = 200;
@@ -61,7 +61,7 @@
 }
 
 async fn decode(text: Bytes, body: Bytes) -> Result<HttpResponse> {
-    let res = Box::pin(client::decode(Feed::new(text))).await?;
+    let res = Box::pin(client::decode(HeadInput::new(text))).await?;
     Ok(to_model(&res, body))
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -287,29 +287,34 @@
 }
 
 fn terms(settings: &Settings, store: &Store) -> Terms {
-    const PER_MILLE: f64 = 1_000.0;
     let default = ColdStartTerms::default();
-    let factor = settings.terms.cold_load;
-    let share = settings.terms.retry_ratio.and_then(|ratio| {
-        let per_mille = format!("{:.0}", ratio * PER_MILLE).parse().ok()?;
-        Some(Share::from_per_mille(per_mille))
-    });
     Terms {
         dialect: store.adapter.dialect(),
         service: settings.service.clone(),
         cold_start: ColdStartTerms {
-            factor: factor.unwrap_or(default.factor),
+            share: settings
+                .terms
+                .cold_load
+                .and_then(share)
+                .unwrap_or(default.share),
             slack: settings.terms.cold_slack.unwrap_or(default.slack),
         },
         retry: RetryTerms {
             slack: settings.terms.retry_slack,
-            share,
+            share: settings.terms.retry_ratio.and_then(share),
             counts_arrivals: true,
         },
         crash_evidence: CrashEvidence::LostTarget,
     }
 }
 
+/// Rounds a ratio to thousandths.
+fn share(ratio: f64) -> Option<Share> {
+    const PER_MILLE: f64 = 1_000.0;
+    let per_mille = format!("{:.0}", ratio * PER_MILLE).parse().ok()?;
+    Some(Share::from_per_mille(per_mille))
+}
+
 /// A later life has a greater number, as far as the wall clock goes forward.
 fn incarnation() -> Incarnation {
     const RANDOM_BITS: u32 = 20;
