Run waiting work only at the target that it was admitted for

Change: the stamp is the target of the hand-over, and waiting work is refused as not here once that target is no longer the VM's own.

--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -239,16 +239,27 @@
 
     fn fill(&mut self, cx: &mut Context<'_>) {
         while let Some(id) = self.admission.next(cx.now.mono) {
-            let now = cx.now.mono;
-            let deadline = self.works.get(&id).map(|work| work.deadline);
-            if deadline.is_some_and(|at| self.admission.can_finish(at - now)) {
-                self.run(cx, id);
-            } else {
-                self.refuse_waiting(cx, id, NotRun::Deadline);
+            match self.check_start(cx, id) {
+                Ok(()) => self.run(cx, id),
+                Err(reason) => self.refuse_waiting(cx, id, reason),
             }
         }
     }
 
+    /// Tells whether work that waited may still run: at the target that it was
+    /// admitted for, and with the time to end.
+    fn check_start(&self, cx: &Context<'_>, id: WorkId) -> check::Result<()> {
+        let work = self.works.get(&id).ok_or(NotRun::NotHere)?;
+        let own = cx.view.own().ok_or(NotRun::NotHere)?;
+        if own.name != work.handover.upstream {
+            return Err(NotRun::NotHere);
+        }
+        if !self.admission.can_finish(work.deadline - cx.now.mono) {
+            return Err(NotRun::Deadline);
+        }
+        Ok(())
+    }
+
     fn run(&mut self, cx: &mut Context<'_>, id: WorkId) {
         let Some(work) = self.works.get_mut(&id) else {
             return;
@@ -260,9 +271,7 @@
         let dialect = &cx.view.cfg().terms.dialect;
         let mut request = work.handover.request.clone();
         headers::stamp(dialect, &mut request, work.handover.depth, remaining);
-        if let Some(own) = cx.view.own() {
-            headers::expect_target(dialect, &mut request, &own.name);
-        }
+        headers::expect_target(dialect, &mut request, &work.handover.upstream);
         cx.actions.push(RequestAction::Run {
             work: id,
             request,
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -181,3 +181,31 @@
     assert!(mesh.runs.is_empty(), "too late to begin");
     assert!(matches!(mesh.answers[&waiting], Answer::NotRun { .. }));
 }
+
+/// Work that waited for one target never runs at the next one at its address
+/// (`hunt`, grown scsa-mesh, hunt-6474-3).
+#[test]
+fn replaced_target() {
+    let old = snapshot(1);
+    let mut mesh = mesh(old.clone());
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    mesh.call("vm-1", stock());
+    let waiting = mesh.call("vm-1", stock());
+    let mut new = old;
+    new.version.index.0 += 1;
+    let (_, mut upstream) = new.upstreams.pop_first().expect("an upstream");
+    tune(&mut new, |s| s.upstreams.clear());
+    let (_, ordering) = new.services.first_key_value().expect("a service");
+    let mut other = ordering.clone();
+    upstream.name = "other-1".parse().expect("an upstream");
+    upstream.service = "other".parse().expect("a service");
+    other.name = upstream.service.clone();
+    other.upstreams = vec![upstream.name.clone()];
+    new.services.insert(other.name.clone(), other);
+    new.upstreams.insert(upstream.name.clone(), upstream);
+    mesh.send("vm-1", RequestEvent::Configured(Arc::new(new)));
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Answered(response(200, "")));
+    assert!(mesh.runs.is_empty(), "it was meant for the other target");
+    assert!(matches!(mesh.answers[&waiting], Answer::NotRun { .. }));
+}
