Count no heartbeat as missed that the limit of bytes withheld

A withheld ping was noted as sent all the same, so its member was suspected 480 ms later, also for seconds after the cut had healed; each of these suspicions then went round the fleet.

Ruled out: rumours from before the heal (dropped for 5 s already), lost datagrams (this network loses none), zones that were never judged lost.

Change: a withheld ping is forgotten.

--- a/crates/kernel/src/fleet/heartbeat.rs
+++ b/crates/kernel/src/fleet/heartbeat.rs
@@ -127,7 +127,8 @@
         });
     }
 
-    /// Sends a datagram if the limit of control bytes allows it.
+    /// Sends a datagram if the limit of control bytes allows it, and says whether
+    /// it did.
     ///
     /// Other zones are not told the suspicions that the loss of a zone caused here.
     pub(super) fn send(
@@ -136,7 +137,7 @@
         vm: Option<&VmName>,
         body: DatagramBody,
         now: Time,
-    ) {
+    ) -> bool {
         let kind = match body {
             DatagramBody::Announce => TrafficKind::Announce,
             _ => TrafficKind::Heartbeat,
@@ -154,9 +155,11 @@
         let members = &self.members;
         let may_tell = |vm: &VmName| in_zone || !members.is_in_lost_zone(vm);
         self.gossip.fill(&mut datagram, members.len(), may_tell);
-        if self.traffic.take(kind, datagram.size_bound(), now).is_ok() {
+        let sent = self.traffic.take(kind, datagram.size_bound(), now).is_ok();
+        if sent {
             self.out.push(FleetAction::Send { to, datagram });
         }
+        sent
     }
 
     /// Returns the suspicion against a member, which it should hear to refute it.
--- a/crates/kernel/src/fleet/prober.rs
+++ b/crates/kernel/src/fleet/prober.rs
@@ -196,6 +196,11 @@
         Sequence(self.sequence)
     }
 
+    /// Forgets a ping that was not sent, so that nobody is suspected by it.
+    pub fn forget(&mut self, sequence: Sequence) {
+        self.probes.remove(&sequence);
+    }
+
     /// Takes an acknowledgement; returns the ping that it answers.
     pub fn acknowledge(&mut self, sequence: Sequence) -> Option<Probe> {
         self.probes.remove(&sequence)
--- a/crates/kernel/src/fleet/round.rs
+++ b/crates/kernel/src/fleet/round.rs
@@ -102,7 +102,10 @@
             return;
         };
         let sequence = self.prober.ping(Some(vm.clone()), peer, now);
-        self.send(peer, Some(vm), DatagramBody::Ping(sequence), now);
+        let sent = self.send(peer, Some(vm), DatagramBody::Ping(sequence), now);
+        if !sent {
+            self.prober.forget(sequence);
+        }
     }
 
     fn ping_address(&mut self, peer: SocketAddr, now: Time) {
@@ -164,7 +167,12 @@
         }
     }
 
+    /// Asks helpers about a member whose state may change by it; suspects are
+    /// pinged every round as it is.
     fn ask_helpers(&mut self, sequence: Sequence, target: &VmName, peer: SocketAddr, now: Time) {
+        if !self.members.get(target).is_some_and(Member::is_alive) {
+            return;
+        }
         let zone = self.cfg.zone.clone();
         let helpers = self.random_members(HELPERS, |m| m.zone == zone && m.peer != peer);
         for helper in helpers {
--- a/crates/kernel/tests/fleet/zone_loss.rs
+++ b/crates/kernel/tests/fleet/zone_loss.rs
@@ -15,21 +15,27 @@
         .any(|r| matches!(r.1, Report::ZoneLost { .. }))
 }
 
-#[test]
-fn whole_zone() {
+fn lose_zone(seed: u64) {
     let text = RulesText::new(3, 8);
-    let mut world = World::settled(&text, 51);
+    let mut world = World::settled(&text, seed);
     world.net.cut.insert(RulesText::zone(2));
     world.run_for(Duration::from_secs(40));
     let told = (0..16).filter(|i| zone_lost(&world, *i)).count();
-    assert!(told >= 12, "{told} nodes");
+    assert!(told >= 12, "seed {seed}: {told} nodes");
     let dead: usize = (16..24).map(|i| world.seen_as(i, MemberState::Dead)).sum();
-    assert!(dead <= 16, "{dead} removals of 128");
+    assert!(dead <= 16, "seed {seed}: {dead} removals of 128");
     world.net.cut.clear();
     let took = world.run_until(Duration::from_secs(5), |w| {
         (0..24).all(|i| w.seen_as(i, MemberState::Alive) == 23)
     });
-    assert!(took.is_some());
+    assert!(took.is_some(), "seed {seed}: suspects after 5 s");
+}
+
+#[test]
+fn whole_zone() {
+    for seed in [19, 30, 51, 52, 58] {
+        lose_zone(seed);
+    }
 }
 
 #[test]
