Learn the version in force from two zones, not from others that learn

Nodes that started as the cut healed heard the old version from that zone, and again from each other while all of them were learning. So many equal answers ended their learning under the old version.

Ruled out: lost datagrams (none are lost then), two texts under one digest, the platform's older answers.

Change: a node that is learning tells no version; answers without a version don't count; answers from two zones are needed where there are two. One second after the first answer ends it as before.

Conclusion: a fleet in one zone, or one whose other zones are lost, learns up to one second later; that is the price.

--- a/crates/kernel/src/fleet/heartbeat.rs
+++ b/crates/kernel/src/fleet/heartbeat.rs
@@ -45,7 +45,7 @@
         self.puller
             .offer(&sender.vm, sender.control, version, held, now);
         if self.stage() == StageKind::Learning {
-            self.stage.hear(&sender.vm, version, now);
+            self.stage.hear(&sender.vm, &sender.zone, version, now);
         }
     }
 
@@ -72,7 +72,8 @@
         if let Some(relay) = self.prober.take_relay(sequence) {
             self.send(relay.to, None, DatagramBody::Ack(relay.sequence), now);
         } else if self.prober.acknowledge(sequence).is_some() {
-            self.stage.hear(&sender.vm, sender.version, now);
+            self.stage
+                .hear(&sender.vm, &sender.zone, sender.version, now);
         }
     }
 
@@ -175,13 +176,24 @@
             incarnation: self.cfg.incarnation,
             refutation: self.own.refutation,
             control: self.cfg.control,
-            version: self.version(),
+            version: self.told_version(),
             view_age: self.view.age(now),
             leaving: self.own.leaving,
             unwell: self.own.unwell,
         }
     }
 
+    /// Returns the version that this node tells to others.
+    ///
+    /// A node that is learning tells none: what it holds came from peers, and is
+    /// no further evidence to another node that is learning.
+    fn told_version(&self) -> Version {
+        match self.stage() {
+            StageKind::Learning => Version::default(),
+            StageKind::Fresh | StageKind::Stale => self.version(),
+        }
+    }
+
     /// Tells changes of members to the driver and to other nodes.
     pub(super) fn carry_changes(&mut self, now: Time) {
         for change in self.members.take_changes() {
--- a/crates/kernel/src/fleet/members.rs
+++ b/crates/kernel/src/fleet/members.rs
@@ -67,6 +67,11 @@
         self.map.len()
     }
 
+    /// Returns the number of zones with other members.
+    pub fn zones(&self) -> usize {
+        self.zones.len()
+    }
+
     /// Returns the zones that were lost at once.
     pub fn lost_zones(&self) -> impl Iterator<Item = &ZoneName> {
         let lost = self.zones.iter().filter(|(_, view)| view.is_lost());
--- a/crates/kernel/src/fleet/round.rs
+++ b/crates/kernel/src/fleet/round.rs
@@ -16,6 +16,7 @@
 use super::message::Sequence;
 use super::prober::Missing;
 use super::stage::StageKind;
+use super::stage::Surroundings;
 
 /// Every so many rounds a member of another zone is pinged as well.
 const ELSEWHERE_ROUNDS: u64 = 4;
@@ -214,7 +215,9 @@
     /// Goes on as fresh once this node holds what its peers hold.
     pub(super) fn advance_stage(&mut self, now: Time) {
         let alone = self.cfg.seeds.is_empty() || self.is_only_member();
-        let Some(from) = self.stage.advance(self.version(), alone, now) else {
+        let zones = self.members.zones();
+        let fleet = Surroundings { alone, zones };
+        let Some(from) = self.stage.advance(self.version(), fleet, now) else {
             return;
         };
         self.out.push(FleetAction::Report(Report::Fresh));
--- a/crates/kernel/src/fleet/stage.rs
+++ b/crates/kernel/src/fleet/stage.rs
@@ -10,11 +10,13 @@
 //! under it when it reaches nobody: it can be behind but not go back.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use celeryshore_model::Time;
 use celeryshore_model::Version;
 use celeryshore_model::VmName;
+use celeryshore_model::ZoneName;
 use derive_more::Display;
 use derive_more::From;
 use serde::Serialize;
@@ -22,6 +24,9 @@
 /// Time after the first answer in which further peers may answer.
 const ANSWER_BOUND: Duration = Duration::from_secs(1);
 
+/// Zones whose answers are waited for, so that one that was cut off is noticed.
+const FEWEST_ZONES: usize = 2;
+
 /// Time for which a version that a peer told of is waited for.
 const VERSION_BOUND: Duration = Duration::from_secs(10);
 
@@ -43,43 +48,71 @@
     Stale,
 }
 
+/// What the configuration held says of the rest of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Surroundings {
+    /// Whether there is no other node.
+    pub alone: bool,
+    /// Zones of the other nodes.
+    pub zones: usize,
+}
+
+/// What a peer told of itself.
+#[derive(Clone, Debug)]
+struct Told {
+    version: Version,
+    zone: ZoneName,
+    at: Time,
+}
+
+impl Told {
+    /// Returns whether the peer has a version in force.
+    fn is_evidence(&self) -> bool {
+        self.version != Version::default()
+    }
+}
+
 /// Peers that answered since a stage began, with the versions they hold.
 #[derive(Debug, Default)]
 struct Census {
-    heard: BTreeMap<VmName, (Version, Time)>,
+    heard: BTreeMap<VmName, Told>,
     first: Option<Time>,
 }
 
 impl Census {
-    fn hear(&mut self, vm: &VmName, version: Version, now: Time) {
+    fn hear(&mut self, vm: &VmName, zone: &ZoneName, version: Version, now: Time) {
         self.first.get_or_insert(now);
-        let (newest, _) = *self
-            .heard
-            .get(vm)
-            .unwrap_or(&(Version::default(), Time::ZERO));
-        self.heard.insert(vm.clone(), (newest.max(version), now));
+        let before = self.heard.get(vm).map(|told| told.version);
+        let told = Told {
+            version: before.unwrap_or_default().max(version),
+            zone: zone.clone(),
+            at: now,
+        };
+        self.heard.insert(vm.clone(), told);
     }
 
-    fn is_over(&self, asked: usize, now: Time) -> bool {
+    /// Returns whether enough peers answered, in more than one zone if there are
+    /// several: those of a zone that was cut off until now are all behind.
+    fn is_over(&self, asked: usize, zones: usize, now: Time) -> bool {
         let Some(first) = self.first else {
             return false;
         };
-        self.heard.len() >= asked || now - first >= ANSWER_BOUND
+        let answers = self.heard.values().filter(|told| told.is_evidence());
+        let heard: BTreeSet<_> = answers.clone().map(|told| &told.zone).collect();
+        let enough = answers.count() >= asked && heard.len() >= zones.min(FEWEST_ZONES);
+        enough || now - first >= ANSWER_BOUND
     }
 
     fn newest(&self, now: Time) -> Version {
         let recent = self
             .heard
             .values()
-            .filter(|(_, heard)| now - *heard < VERSION_BOUND);
-        recent
-            .map(|(version, _)| *version)
-            .max()
-            .unwrap_or_default()
+            .filter(|told| now - told.at < VERSION_BOUND);
+        recent.map(|told| told.version).max().unwrap_or_default()
     }
 
-    fn allows(&self, held: Version, asked: usize, now: Time) -> bool {
-        self.is_over(asked, now) && held >= self.newest(now)
+    fn allows(&self, held: Version, asked: usize, zones: usize, now: Time) -> bool {
+        self.is_over(asked, zones, now) && held >= self.newest(now)
     }
 }
 
@@ -108,8 +141,8 @@
     ///
     /// A node without seeds, or the only one of its configuration, has nobody
     /// to ask.
-    fn finish(self, held: Version, alone: bool, now: Time) -> Result<Fresh, Self> {
-        let allowed = alone || self.census.allows(held, self.asked, now);
+    fn finish(self, held: Version, fleet: Surroundings, now: Time) -> Result<Fresh, Self> {
+        let allowed = fleet.alone || self.census.allows(held, self.asked, fleet.zones, now);
         if held != Version::default() && allowed {
             Ok(Fresh { since: now })
         } else {
@@ -147,9 +180,9 @@
     /// Ends the stage if the node may count as fresh under `held`.
     ///
     /// A node that reaches nobody serves on under what it holds.
-    fn finish(self, held: Version, now: Time) -> Result<Fresh, Self> {
+    fn finish(self, held: Version, fleet: Surroundings, now: Time) -> Result<Fresh, Self> {
         let isolated = self.census.first.is_none() && now - self.since >= ISOLATION_BOUND;
-        if self.asked == 0 || isolated || self.census.allows(held, self.asked, now) {
+        if self.asked == 0 || isolated || self.census.allows(held, self.asked, fleet.zones, now) {
             Ok(Fresh { since: now })
         } else {
             Err(self)
@@ -188,20 +221,20 @@
     }
 
     /// Notes the version of a peer that answered.
-    pub fn hear(&mut self, vm: &VmName, version: Version, now: Time) {
+    pub fn hear(&mut self, vm: &VmName, zone: &ZoneName, version: Version, now: Time) {
         match self {
-            Self::Learning(learning) => learning.census.hear(vm, version, now),
-            Self::Stale(stale) => stale.census.hear(vm, version, now),
+            Self::Learning(learning) => learning.census.hear(vm, zone, version, now),
+            Self::Stale(stale) => stale.census.hear(vm, zone, version, now),
             Self::Fresh(_) => {}
         }
     }
 
     /// Goes on as fresh if the stage is over; says which stage it was.
-    pub fn advance(&mut self, held: Version, alone: bool, now: Time) -> Option<StageKind> {
+    pub fn advance(&mut self, held: Version, fleet: Surroundings, now: Time) -> Option<StageKind> {
         let from = self.kind();
         *self = match self.take(now) {
-            Self::Learning(stage) => into_stage(stage.finish(held, alone, now)),
-            Self::Stale(stage) => into_stage(stage.finish(held, now)),
+            Self::Learning(stage) => into_stage(stage.finish(held, fleet, now)),
+            Self::Stale(stage) => into_stage(stage.finish(held, fleet, now)),
             Self::Fresh(stage) => stage.into(),
         };
         (self.kind() != from).then_some(from)
--- a/crates/kernel/tests/fleet/learning.rs
+++ b/crates/kernel/tests/fleet/learning.rs
@@ -76,3 +76,27 @@
     let took = world.run_until(Duration::from_secs(15), |w| w.all_hold(version));
     assert!(took.is_some());
 }
+
+/// A zone that was cut off is behind; nodes that start as the cut heals hear the
+/// old version from it, and again from each other.
+#[test]
+fn echoed_version() {
+    for seed in 0..60 {
+        let text = RulesText::new(3, 3);
+        let mut world = World::settled(&text, seed);
+        world.net.cut.insert(RulesText::zone(1));
+        world.net.cut_from_source.insert(RulesText::zone(1));
+        let version = world.publish(&text.revision(2));
+        world.run_for(Duration::from_secs(3));
+        world.seeds = vec![3, 4, 6];
+        (6..9).for_each(|i| world.kill(i));
+        // Any moment between two rounds of heartbeats.
+        world.run_for(Duration::from_millis(3_000 + seed * 17 % 500));
+        world.net.cut.clear();
+        (6..9).for_each(|i| world.restart(i));
+        world.run_for(Duration::from_secs(5));
+        for i in 6..9 {
+            assert_eq!(world.nodes[i].configured[0].1, version, "seed {seed}");
+        }
+    }
+}
--- a/crates/kernel/tests/fleet/support/world.rs
+++ b/crates/kernel/tests/fleet/support/world.rs
@@ -46,7 +46,8 @@
     pub nodes: Vec<Node>,
     pub net: FakeNet,
     pub source: FakeSource,
-    seeds: Vec<usize>,
+    /// Nodes that every node starts with as seeds.
+    pub seeds: Vec<usize>,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     deliveries: BTreeMap<u64, Delivery>,
     pub(super) watches: Vec<Watch>,
