Examine a target that returns after its entry had left the list

Cause: a target that falls silent is examined about once a second. When its entry left the platform's list meanwhile, the next examination had no path to ask, so none was sent and none was due any more. Beside it, each broken connection asked for an examination of its own: five within 5 ms at one target.

Ruled out: the new entries (all nodes saw them), cold starts (none of the four was examined again), placement (their own nodes refused as "target-down").

Change: another life of the target, or its return into service, makes all earlier findings void; without a target the examination is put off; while one is under way, doubts ask for no other.

--- a/crates/kernel/src/requests/admitting/admission.rs
+++ b/crates/kernel/src/requests/admitting/admission.rs
@@ -93,8 +93,8 @@
         self.room = limits.queue.get() as usize;
     }
 
-    /// Notes a sign that the target may have started again.
-    pub(super) fn doubt(&mut self, now: Time) {
+    /// Begins with another life of the target, or with one back in service.
+    pub(super) fn reset(&mut self, now: Time) {
         self.gate.reset(now);
     }
 
@@ -113,6 +113,11 @@
         self.gate.take_examination(now)
     }
 
+    /// Notes that there is no target to examine at present.
+    pub(super) fn postpone_examination(&mut self, now: Time) {
+        self.gate.postpone_examination(now);
+    }
+
     /// Returns when waiting work may start without the end of other work.
     pub(super) fn next_at(&self, now: Time) -> Option<Time> {
         self.gate.next_at(now)
--- a/crates/kernel/src/requests/admitting/gate.rs
+++ b/crates/kernel/src/requests/admitting/gate.rs
@@ -124,6 +124,13 @@
         is_due
     }
 
+    /// Notes that there is no target to examine at present.
+    pub(super) fn postpone_examination(&mut self, now: Time) {
+        if let Self::Paced(paced) = self {
+            paced.pacer.postpone_examination(now);
+        }
+    }
+
     /// Learns from one request; tells whether the target bears less than before.
     pub(super) fn observe(&mut self, now: Time, evidence: Evidence<'_>) -> bool {
         match self {
@@ -153,7 +160,7 @@
     pub(super) fn reset(&mut self, now: Time) {
         match self {
             Self::Evidence(limit) => limit.reset(now),
-            Self::Paced(paced) => paced.pacer.doubt(now),
+            Self::Paced(paced) => paced.pacer.reset(now),
         }
     }
 
--- a/crates/kernel/src/requests/admitting/own_target.rs
+++ b/crates/kernel/src/requests/admitting/own_target.rs
@@ -46,13 +46,14 @@
         if !self.admission.take_examination(cx.now.mono) {
             return;
         }
-        if let Some(path) = cx.view.own_service().and_then(|s| s.health.clone()) {
-            cx.actions.push(RequestAction::Examine { path });
+        match cx.view.own_service().and_then(|s| s.health.clone()) {
+            Some(path) => cx.actions.push(RequestAction::Examine { path }),
+            None => self.admission.postpone_examination(cx.now.mono),
         }
     }
 
-    /// Doubts a target that has started again or that comes back into service,
-    /// since it may be in cold start.
+    /// Begins again with a target that has started again or that comes back into
+    /// service, since it may be in cold start.
     pub(super) fn observe_own(&mut self, cx: &mut Context<'_>) {
         let own = cx.view.own();
         let own = own.map(|own| OwnTarget {
@@ -65,7 +66,7 @@
         }
         let is_same = |old: &OwnTarget| own.as_ref().is_some_and(|new| old.continues(new));
         if !self.own.as_ref().is_some_and(is_same) {
-            self.admission.doubt(cx.now.mono);
+            self.admission.reset(cx.now.mono);
         }
         self.own = own;
     }
--- a/crates/kernel/src/requests/admitting/pacer.rs
+++ b/crates/kernel/src/requests/admitting/pacer.rs
@@ -50,6 +50,7 @@
     /// What an earlier life of this process may have sent counts until this time.
     full_until: Time,
     examine_at: Option<Time>,
+    is_examining: bool,
     interval: Duration,
 }
 
@@ -63,6 +64,7 @@
             sent: VecDeque::new(),
             full_until: now + WINDOW,
             examine_at: Some(now),
+            is_examining: false,
             interval: EXAMINE_INTERVAL,
         }
     }
@@ -137,14 +139,26 @@
         }
     }
 
-    /// Notes a sign that the target may have started again.
+    /// Notes a sign that the target may have started again. The examination that
+    /// is under way, if one is, settles this doubt too.
     pub(super) fn doubt(&mut self, now: Time) {
-        if self.standing != Standing::Down {
-            self.standing = Standing::Unsure;
+        if self.standing == Standing::Down {
+            return;
+        }
+        self.standing = Standing::Unsure;
+        if !self.is_examining {
             self.examine_at.get_or_insert(now);
         }
     }
 
+    /// Begins with another life of the target, or with one back in service:
+    /// nothing holds that was known before, also not that it was down.
+    pub(super) fn reset(&mut self, now: Time) {
+        self.standing = Standing::Unsure;
+        self.interval = EXAMINE_INTERVAL;
+        self.examine_at = Some(now);
+    }
+
     /// Notes that the target accepts no connection.
     pub(super) fn refused(&mut self, now: Time) {
         if self.standing != Standing::Down {
@@ -157,6 +171,7 @@
     /// Takes what an examination of the target showed.
     pub(super) fn examined(&mut self, now: Time, health: Health) {
         self.examine_at = None;
+        self.is_examining = false;
         self.interval = match health {
             Health::Good { .. } => EXAMINE_INTERVAL,
             Health::Bad | Health::Unreachable => (self.interval * 2).min(MAX_EXAMINE_INTERVAL),
@@ -181,6 +196,13 @@
     /// Notes that an examination is under way.
     pub(super) const fn begin_examination(&mut self) {
         self.examine_at = None;
+        self.is_examining = true;
+    }
+
+    /// Notes that there is no target to examine at present.
+    pub(super) fn postpone_examination(&mut self, now: Time) {
+        self.is_examining = false;
+        self.examine_at = Some(now + MAX_EXAMINE_INTERVAL);
     }
 
     fn colder(&self, until: Time) -> Standing {
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -70,6 +70,8 @@
     pub handovers: usize,
     /// Inquiries sent so far.
     pub inquiries: usize,
+    /// Examinations of targets that were asked for.
+    pub examinations: usize,
     /// Versions that nodes asked for.
     pub catch_ups: usize,
     /// Messages to these VMs are kept back until they are released.
@@ -113,6 +115,7 @@
             answers: BTreeMap::new(),
             handovers: 0,
             inquiries: 0,
+            examinations: 0,
             catch_ups: 0,
             held: BTreeSet::new(),
             kept: Vec::new(),
--- a/crates/kernel/tests/common/network.rs
+++ b/crates/kernel/tests/common/network.rs
@@ -100,7 +100,8 @@
                 self.runs.retain(|r| (&r.vm, r.work) != (vm, work));
             }
             RequestAction::CatchUp { .. } => self.catch_ups += 1,
-            RequestAction::Examine { .. } | RequestAction::Report(_) => {}
+            RequestAction::Examine { .. } => self.examinations += 1,
+            RequestAction::Report(_) => {}
             RequestAction::WakeAt(at) => self.node(vm).wake_at = Some(at),
             RequestAction::Drained => self.node(vm).is_drained = true,
         }
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -10,6 +10,7 @@
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_model::ColdStart;
+use celeryshore_model::Incarnation;
 use celeryshore_model::Priority;
 use celeryshore_model::Rate;
 use celeryshore_model::Slots;
@@ -21,6 +22,7 @@
 use crate::common::deployment::ordering;
 use crate::common::deployment::stock;
 use crate::common::deployment::tune;
+use crate::common::deployment::without_upstream;
 use crate::common::name;
 use crate::common::response;
 
@@ -182,6 +184,51 @@
     assert!(matches!(mesh.answers[&waiting], Answer::NotRun { .. }));
 }
 
+/// A target that is down leaves the platform's list; the next one at its address
+/// serves as soon as an examination shows that it is warm.
+#[test]
+fn returned_target() {
+    let mut snapshot = snapshot(1);
+    tune(&mut snapshot, |s| s.health = Some("/health".to_owned()));
+    let mut mesh = mesh(snapshot.clone());
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    let health = Health::Unreachable;
+    mesh.send("vm-1", RequestEvent::Examined { health });
+    let gone = without_upstream(&snapshot, "vm-1");
+    mesh.send("vm-1", RequestEvent::Configured(Arc::new(gone)));
+    mesh.advance(5_000);
+    let mut back = snapshot;
+    back.version.index.0 += 2;
+    for upstream in back.upstreams.values_mut() {
+        upstream.life = Incarnation(7);
+    }
+    mesh.examinations = 0;
+    mesh.send("vm-1", RequestEvent::Configured(Arc::new(back)));
+    mesh.advance(10);
+    assert_eq!(mesh.examinations, 1, "the new life is examined");
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    mesh.call("vm-1", stock());
+    assert_eq!(mesh.runs.len(), 1);
+}
+
+/// Connections that break while an examination is under way ask for no other.
+#[test]
+fn one_examination() {
+    let mut snapshot = snapshot(8);
+    tune(&mut snapshot, |s| s.health = Some("/health".to_owned()));
+    let mut mesh = mesh(snapshot);
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    for _ in 0..4 {
+        mesh.call("vm-1", order());
+    }
+    mesh.examinations = 0;
+    for run in mesh.runs.clone() {
+        mesh.finish(&run, Outcome::Broken);
+        mesh.advance(1);
+    }
+    assert_eq!(mesh.examinations, 1);
+}
+
 /// Work that waited for one target never runs at the next one at its address
 /// (`hunt`, grown scsa-mesh, hunt-6474-3).
 #[test]
