Give joined targets work once they are warm, and little before

A target without a report was assumed to take 20 ms, less than any other, so each of the 17 nodes of its zone sent it requests at once, while it was cold and took twice its time. What it reported then made it look slow for as long as nobody asked again.

Ruled out: work times (their tail is 1 %), slow classes of machines (they are known and avoided), the rate of cold targets (kept).

Such a target without a report is assumed to take twice the usual time of its service; a report from its cold start is void once it is warm, and one request at a time tries it.

--- a/crates/kernel/src/feed/compile.rs
+++ b/crates/kernel/src/feed/compile.rs
@@ -78,6 +78,7 @@
         slots: Some(record.slots),
         life: record.life,
         state: record.state,
+        is_cold: !record.cold_for.is_zero(),
     };
     snapshot.upstreams.insert(record.name.clone(), upstream);
 }
--- a/crates/kernel/src/requests/handing/balancer.rs
+++ b/crates/kernel/src/requests/handing/balancer.rs
@@ -15,6 +15,7 @@
 use super::call::Call;
 use super::call::Leg;
 use super::peer_load::PeerLoad;
+use super::peer_load::Prior;
 use crate::MemberState;
 use crate::NotRun;
 use crate::Reply;
@@ -156,6 +157,7 @@
         service: &Service,
         call: &Call,
     ) -> Vec<Candidate<'a>> {
+        let usual = self.usual_time(service);
         service
             .upstreams
             .iter()
@@ -163,21 +165,38 @@
             .filter_map(|name| snapshot.upstreams.get(name))
             .filter(|u| u.state == UpstreamState::Serving)
             .filter(|u| !snapshot.is_out(u) && cx.view.is_usable(&u.vm))
-            .map(|u| self.candidate(cx, snapshot, service, u, call))
+            .map(|u| {
+                let cold = service.limits.cold_slots;
+                let prior = Prior {
+                    limit: u.slots.unwrap_or(cold).get(),
+                    usual,
+                    is_cold: u.is_cold,
+                };
+                self.candidate(cx, snapshot, u, prior, call)
+            })
             .collect()
     }
 
+    /// Returns the mean service time of the warm upstreams of a service.
+    fn usual_time(&self, service: &Service) -> Duration {
+        let loads = service.upstreams.iter().filter_map(|n| self.loads.get(n));
+        let (mut sum, mut count) = (Duration::ZERO, 0);
+        for told in loads.filter_map(PeerLoad::warm_time) {
+            sum += told;
+            count += 1;
+        }
+        sum / count.max(1)
+    }
+
     fn candidate<'a>(
         &self,
         cx: &Context<'_>,
         snapshot: &Snapshot,
-        service: &Service,
         upstream: &'a Upstream,
+        prior: Prior,
         call: &Call,
     ) -> Candidate<'a> {
         let now = cx.now.mono;
-        let cold = service.limits.cold_slots;
-        let cold = upstream.slots.unwrap_or(cold).get();
         let distance = distance(snapshot, &cx.view.cfg().zone, &upstream.zone);
         let local_wait = call.local_wait().filter(|_| distance == Distance::Zone);
         let load = self.loads.get(&upstream.name).copied().unwrap_or_default();
@@ -186,9 +205,9 @@
             upstream,
             distance,
             is_doubtful: is_suspect || load.is_avoided(now),
-            has_room: load.has_room(now, cold, cx.view.zone_size(&upstream.zone))
-                || local_wait.is_some_and(|wait| load.wait(now, cold) <= wait),
-            cost: load.cost(now, cold) + distance.penalty(),
+            has_room: load.has_room(now, prior, cx.view.zone_size(&upstream.zone))
+                || local_wait.is_some_and(|wait| load.wait(now, prior) <= wait),
+            cost: load.cost(now, prior) + distance.penalty(),
         }
     }
 }
--- a/crates/kernel/src/requests/handing/peer_load.rs
+++ b/crates/kernel/src/requests/handing/peer_load.rs
@@ -10,8 +10,10 @@
 
 /// Age at which a report says nothing any more of the work in flight.
 const REPORT_HORIZON: Duration = Duration::from_secs(1);
-/// Service time that is assumed before the first report.
+/// Service time that is assumed for a first request to an upstream.
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Times the usual service time that a target is assumed to take in cold start.
+const COLD_FACTOR: u32 = 2;
 /// First time for which a failing upstream is avoided.
 const MIN_PENALTY: Duration = Duration::from_millis(200);
 /// Longest time for which a failing upstream is avoided.
@@ -30,6 +32,17 @@
     failures: u32,
 }
 
+/// What is assumed of an upstream where it has not told this node.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Prior {
+    /// Its limit.
+    pub(super) limit: u32,
+    /// Mean service time of the warm upstreams of its service.
+    pub(super) usual: Duration,
+    /// Whether the platform says that it is in cold start.
+    pub(super) is_cold: bool,
+}
+
 impl PeerLoad {
     /// Records a hand-over.
     pub(super) fn sent(&mut self) {
@@ -66,21 +79,27 @@
         now < self.avoid_until
     }
 
-    /// Returns the limit of the upstream, `cold` if it has not reported one.
-    pub(super) fn limit(&self, cold: u32) -> u32 {
+    /// Returns the limit of the upstream.
+    fn limit(&self, prior: Prior) -> u32 {
         match self.reported_at {
             Some(_) => self.report.limit.max(1),
-            None => cold.max(1),
+            None => prior.limit.max(1),
         }
     }
 
+    /// Returns the service time that the target told when it was warm.
+    pub(super) fn warm_time(&self) -> Option<Duration> {
+        let is_warm = self.report.phase == Phase::Warm;
+        Some(self.report.service_time).filter(|told| is_warm && !told.is_zero())
+    }
+
     /// Returns the load in thousandths of the limit.
     ///
     /// The work of other nodes is taken from the report. The older the report,
     /// the more the upstream counts as half loaded, so that one with an old
     /// report does not look idle to all nodes at once.
-    pub(super) fn ratio(&self, now: Time, cold: u32) -> u64 {
-        let limit = u64::from(self.limit(cold));
+    pub(super) fn ratio(&self, now: Time, prior: Prior) -> u64 {
+        let limit = u64::from(self.limit(prior));
         let own = u64::from(self.outstanding) * 1_000;
         let fresh = self.freshness(now);
         let reported = u64::from(self.others) * fresh;
@@ -92,21 +111,21 @@
     /// overflowing the upstream.
     ///
     /// While the target is not warm, each handing node takes only its share.
-    pub(super) fn has_room(&self, now: Time, cold: u32, sharers: u32) -> bool {
-        let limit = self.limit(cold);
+    pub(super) fn has_room(&self, now: Time, prior: Prior, sharers: u32) -> bool {
+        let limit = self.limit(prior);
         let share = match self.report.phase {
             Phase::Warm => limit,
             _ => limit.div_ceil(sharers.max(1)),
         };
-        self.outstanding < share && self.ratio(now, cold) < 1_000
+        self.outstanding < share && self.ratio(now, prior) < 1_000
     }
 
     /// Returns how long one more request would wait for a slot.
-    pub(super) fn wait(&self, now: Time, cold: u32) -> Duration {
-        let limit = u64::from(self.limit(cold));
-        let over = (self.ratio(now, cold) + 1_000 / limit).saturating_sub(1_000);
+    pub(super) fn wait(&self, now: Time, prior: Prior) -> Duration {
+        let limit = u64::from(self.limit(prior));
+        let over = (self.ratio(now, prior) + 1_000 / limit).saturating_sub(1_000);
         let over = u32::try_from(over).unwrap_or(u32::MAX);
-        let queued = self.service_time().saturating_mul(over) / 1_000;
+        let queued = self.service_time(now, prior).saturating_mul(over) / 1_000;
         let fresh = u32::try_from(self.freshness(now)).unwrap_or(0);
         match self.report.phase {
             Phase::Warm => queued,
@@ -116,18 +135,31 @@
 
     /// Returns the expected time to the end of one more request, with a part for
     /// the slots in use: a target slows down as it fills up.
-    pub(super) fn cost(&self, now: Time, cold: u32) -> Duration {
-        let used = u32::try_from(self.ratio(now, cold).min(1_000)).unwrap_or(1_000);
-        let run = self.service_time() * (1_000 + used) / 1_000;
-        run + self.wait(now, cold)
+    pub(super) fn cost(&self, now: Time, prior: Prior) -> Duration {
+        let used = u32::try_from(self.ratio(now, prior).min(1_000)).unwrap_or(1_000);
+        let run = self.service_time(now, prior) * (1_000 + used) / 1_000;
+        run + self.wait(now, prior)
     }
 
-    fn service_time(&self) -> Duration {
+    /// Returns the expected time of a run.
+    ///
+    /// Load pattern: targets that join or are replaced one after the other. One in
+    /// cold start is slow, so it gets what the warm ones have no room for. Once it
+    /// is warm, what it told before says nothing, and one request tries it.
+    fn service_time(&self, now: Time, prior: Prior) -> Duration {
         let told = self.report.service_time;
-        if told.is_zero() {
+        let is_past = !prior.is_cold && self.report.phase == Phase::Cold;
+        let is_old = self.freshness(now) == 0;
+        if !(told.is_zero() || is_past && is_old) {
+            return told;
+        }
+        let usual = prior.usual.max(ASSUMED_SERVICE_TIME);
+        if prior.is_cold {
+            usual * COLD_FACTOR
+        } else if self.outstanding == 0 {
             ASSUMED_SERVICE_TIME
         } else {
-            told
+            usual
         }
     }
 
--- a/crates/kernel/tests/balancing.rs
+++ b/crates/kernel/tests/balancing.rs
@@ -3,20 +3,30 @@
 mod common;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use celeryshore_kernel::Health;
 use celeryshore_kernel::MemberState;
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
+use celeryshore_model::ColdStart;
+use celeryshore_model::Rate;
 use celeryshore_model::Slots;
+use celeryshore_model::Snapshot;
 
 use crate::common::Mesh;
 use crate::common::deployment::ordering;
 use crate::common::deployment::stock;
 use crate::common::deployment::tune;
+use crate::common::deployment::without_upstream;
 use crate::common::deployment::without_zone;
 use crate::common::name;
 use crate::common::response;
 
+const WARM: Health = Health::Good {
+    cold_for: Duration::ZERO,
+};
+
 /// Warm targets with four slots each.
 fn mesh(zones: &[&str]) -> Mesh {
     let mut snapshot = ordering(zones);
@@ -174,3 +184,59 @@
     mesh.call("vm-1", stock());
     assert_eq!(mesh.runs[0].vm, run.vm, "an old report is no idle target");
 }
+
+/// One target joins in cold start, beside two that are warm and have room.
+#[test]
+fn joined_cold() {
+    let mut all = ordering(&["glasgow", "glasgow", "glasgow"]);
+    tune(&mut all, |s| {
+        s.limits.slots = Slots::new(4);
+        s.limits.cold_slots = Slots::new(4);
+        s.limits.cold_start = Some(ColdStart {
+            rate: Rate::from_per_mille(10_000),
+            span: Duration::from_secs(3),
+        });
+    });
+    let first = without_upstream(&all, "vm-3");
+    let mut mesh = Mesh::with(&all, &Arc::new(first));
+    mesh.advance(1_500);
+    for vm in ["vm-1", "vm-2"] {
+        mesh.send(vm, RequestEvent::Examined { health: WARM });
+    }
+    for _ in 0..16 {
+        mesh.call("vm-1", stock());
+        mesh.advance(100);
+        mesh.answer("");
+    }
+    mesh.history.clear();
+    let mut joined = all.clone();
+    joined.version.index.0 += 2;
+    set_cold(&mut joined, "vm-3", true);
+    mesh.send_all(&RequestEvent::Configured(Arc::new(joined)));
+    mesh.advance(1_500);
+    let cold_for = Duration::from_secs(1);
+    let health = Health::Good { cold_for };
+    mesh.send("vm-3", RequestEvent::Examined { health });
+    for _ in 0..4 {
+        mesh.call("vm-1", stock());
+    }
+    assert_eq!(runs_at(&mesh, "vm-3"), 0, "slow in cold start");
+    while !mesh.runs.is_empty() {
+        mesh.answer("");
+    }
+    let mut warm = all;
+    warm.version.index.0 += 3;
+    mesh.send_all(&RequestEvent::Configured(Arc::new(warm)));
+    mesh.send("vm-3", RequestEvent::Examined { health: WARM });
+    for _ in 0..4 {
+        mesh.call("vm-1", stock());
+    }
+    assert!(runs_at(&mesh, "vm-3") >= 1, "warm ones are tried soon");
+}
+
+fn set_cold(snapshot: &mut Snapshot, vm: &str, is_cold: bool) {
+    let of_vm = snapshot.upstreams.values_mut();
+    of_vm
+        .filter(|u| u.vm == name(vm))
+        .for_each(|u| u.is_cold = is_cold);
+}
--- a/crates/kernel/tests/common/deployment.rs
+++ b/crates/kernel/tests/common/deployment.rs
@@ -187,6 +187,7 @@
         slots: None,
         life: Incarnation::default(),
         state: UpstreamState::Serving,
+        is_cold: false,
     }
 }
 
--- a/crates/model/src/snapshot.rs
+++ b/crates/model/src/snapshot.rs
@@ -202,6 +202,8 @@
     pub life: Incarnation,
     /// Whether the target takes new work.
     pub state: UpstreamState,
+    /// Whether the platform says that the target is in cold start.
+    pub is_cold: bool,
 }
 
 /// Whether a target takes new work.
--- a/crates/rules/src/upstream.rs
+++ b/crates/rules/src/upstream.rs
@@ -55,6 +55,7 @@
         slots: None,
         life: Incarnation::default(),
         state: UpstreamState::Serving,
+        is_cold: false,
     })
 }
 
