Read the store less when a fleet starts

Nodes watched one section before the other was listed, and while no target was listed nobody had a peer to follow.

Ruled out: the four zones' readers (about 4 calls a second together).

Change: no read of changes begins before both sections were listed once. While no target is listed, nodes follow a seed whose name comes before their own.

What is left of the start: entries come one by one, and each node takes itself for the first of its zone meanwhile.

--- a/crates/kernel/src/feed/peers.rs
+++ b/crates/kernel/src/feed/peers.rs
@@ -64,6 +64,30 @@
         self.known = listed;
     }
 
+    /// Takes seeds for peers while the platform lists no target: all nodes of a
+    /// fleet that starts would read the store until their targets are listed.
+    ///
+    /// Those whose names come before the own one count, so that no two nodes
+    /// follow each other.
+    pub(super) fn add_seeds(&mut self, seeds: &[SocketAddr], own: &VmName) {
+        if !self.known.is_empty() {
+            return;
+        }
+        for seed in seeds {
+            let Some(vm) = compile::vm_at(*seed).filter(|vm| vm < own) else {
+                continue;
+            };
+            let peer = Peer {
+                addr: *seed,
+                rank: 0,
+                is_near: true,
+                left_until: Time::ZERO,
+                position: None,
+            };
+            self.known.insert(vm, peer);
+        }
+    }
+
     /// Returns where a node reads: the first node of its zone that is in order
     /// reads the store, and the others follow it.
     pub(super) fn choose(&self, now: Time, own: &VmName, zone: &ZoneName) -> Choice {
--- a/crates/kernel/src/feed/section_reader.rs
+++ b/crates/kernel/src/feed/section_reader.rs
@@ -90,6 +90,12 @@
         self.backoff.failures() > 0
     }
 
+    /// Tells whether the first list is still to come, and nothing speaks against
+    /// its coming soon.
+    pub(super) const fn is_beginning(&self) -> bool {
+        self.must_list && self.backoff.failures() == 0
+    }
+
     /// Tells whether a read is this reader's current one.
     pub(super) fn is_current(&self, read: FetchId) -> bool {
         match &self.state {
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -128,6 +128,9 @@
 
     /// Reads the store or asks a peer, whichever is this node's source.
     fn read(&mut self, now: Time) {
+        if !self.is_beginning() {
+            self.peers.add_seeds(&self.cfg.seeds, &self.cfg.vm);
+        }
         let choice = self.peers.choose(now, &self.cfg.vm, &self.cfg.zone);
         self.note_source(&choice);
         match choice {
@@ -167,6 +170,9 @@
             let Some(next) = self.readers[place].next(now, is_known) else {
                 continue;
             };
+            if matches!(next, Next::Changes) && self.is_beginning() {
+                continue;
+            }
             let fetch = self.next_fetch();
             self.store_reads += 1;
             let deadline = self.readers[place].begin(now, fetch, &next);
@@ -188,6 +194,14 @@
         }
     }
 
+    /// Tells whether a section is still to be read for the first time. Only then
+    /// is it known whom to follow, so no read of changes begins before.
+    fn is_beginning(&self) -> bool {
+        self.readers
+            .iter()
+            .any(|r| r.is_beginning() && self.catalog.revision(r.section()).0 == 0)
+    }
+
     /// Asks any node while the store does not answer: another zone may still
     /// reach it, and a node that has just started knows only its seeds.
     fn ask_anyone(&mut self, now: Time) {
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -218,6 +218,19 @@
         self.send(FeedEvent::Listed { fetch, page });
     }
 
+    /// Answers the lists of a store that holds nothing yet.
+    fn list_nothing(&mut self) {
+        for section in StoreSection::ALL {
+            let fetch = self.read(section).expect("a list");
+            let page = Page {
+                items: Vec::new(),
+                has_more: false,
+                revision: StoreRevision(1),
+            };
+            self.send(FeedEvent::Listed { fetch, page });
+        }
+    }
+
     fn change(&mut self, section: StoreSection, items: Vec<Item>) {
         self.advance(1_000);
         let fetch = self.read(section).expect("a read");
@@ -477,3 +490,24 @@
     let (_, peer) = node.asked().expect("a question");
     assert_eq!(peer, "10.0.0.9:7000".parse().expect("an address"));
 }
+
+/// Nodes that start before any target is listed don't all read the store.
+#[test]
+fn no_targets_yet() {
+    let watches = |node: &Node| {
+        let reads = node.actions.iter();
+        reads
+            .filter(|a| matches!(a, FeedAction::Watch { .. }))
+            .count()
+    };
+    let mut later = Node::new("10.0.0.99");
+    later.list_nothing();
+    let (_, peer) = later.asked().expect("a question");
+    assert_eq!(peer, "10.0.0.9:7000".parse().expect("an address"));
+    assert_eq!(watches(&later), 0);
+    let mut earlier = Node::new("10.0.0.1");
+    earlier.list_nothing();
+    assert!(earlier.asked().is_none(), "nobody comes before it");
+    earlier.advance(1_000);
+    assert_eq!(watches(&earlier), 2);
+}
