Tell a target's slowness from what it runs, not only from its answers

Cause: a target that turns four times as slow (srv_slow) tells so only with its answers, one eighth of the difference each; work that is given up for its slowness never counted.

Ruled out: placement by stale reports alone (a report comes with each reply).

Change: the expected time of a run is the mean of the answers, or the mean age of what runs if that is longer; work that was given up after longer than the mean counts with the time it had.

--- a/crates/kernel/src/requests/admitting/admission.rs
+++ b/crates/kernel/src/requests/admitting/admission.rs
@@ -10,6 +10,7 @@
 use super::gate::Gate;
 use super::limit::Evidence;
 use super::queue::Queue;
+use super::runs::Runs;
 use crate::Health;
 use crate::LoadReport;
 use crate::NotRun;
@@ -17,14 +18,10 @@
 use crate::requests::WorkId;
 use crate::requests::terms::ColdStartTerms;
 
-/// Service time that is assumed before any answer was seen.
-const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Part of the usual service time below which work is not begun, as a divisor.
 const HOPELESS_DIVISOR: u32 = 2;
-/// Weight of the latest answer in the mean service time, as a divisor.
-const SMOOTHING: u32 = 8;
 
 /// What is to become of a request that asks for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,9 +59,8 @@
 pub(super) struct Admission {
     gate: Gate,
     room: usize,
-    running: u32,
+    runs: Runs,
     queue: Queue,
-    service_time: Duration,
     is_target_draining: bool,
 }
 
@@ -74,9 +70,8 @@
         Self {
             gate: Gate::new(),
             room: 0,
-            running: 0,
+            runs: Runs::new(),
             queue: Queue::default(),
-            service_time: ASSUMED_SERVICE_TIME,
             is_target_draining: false,
         }
     }
@@ -142,7 +137,7 @@
             return Verdict::Refuse(self.refusal(now, NotRun::Leaving));
         }
         let place = self.queue.place(demand.priority);
-        if place == 0 && self.gate.admits(now, self.running) {
+        if place == 0 && self.gate.admits(now, self.running()) {
             return Verdict::Run;
         }
         let is_short = demand
@@ -178,37 +173,38 @@
     /// Tells whether work at this place in the queue can end in `remaining` time.
     pub(super) fn fits(&self, now: Time, place: usize, remaining: Duration) -> bool {
         self.gate.phase() != Phase::Down
-            && self.expected_wait(now, place) + self.service_time < remaining
+            && self.expected_wait(now, place) + self.runs.service_time(now) < remaining
     }
 
     /// Tells whether work that starts now may well end in `remaining` time.
-    pub(super) fn can_finish(&self, remaining: Duration) -> bool {
-        remaining >= self.service_time / HOPELESS_DIVISOR && !remaining.is_zero()
+    pub(super) fn can_finish(&self, now: Time, remaining: Duration) -> bool {
+        let least = self.runs.service_time(now) / HOPELESS_DIVISOR;
+        remaining >= least && !remaining.is_zero()
     }
 
     /// Takes a slot.
     pub(super) fn start(&mut self, now: Time) {
-        self.running += 1;
+        self.runs.start(now);
         self.gate.sent(now);
     }
 
     /// Frees a slot and learns from its work; tells whether the limit fell.
-    pub(super) fn finish(&mut self, now: Time, evidence: Evidence<'_>) -> bool {
-        if let Evidence::Answered { elapsed, .. } = evidence {
-            self.service_time = (self.service_time * (SMOOTHING - 1) + elapsed) / SMOOTHING;
+    pub(super) fn finish(&mut self, now: Time, since: Time, evidence: Evidence<'_>) -> bool {
+        match evidence {
+            Evidence::Answered { .. } => self.runs.answered(now, since),
+            _ => self.runs.end(since),
         }
-        self.release();
         self.gate.observe(now, evidence)
     }
 
-    /// Frees a slot whose work says nothing about the target.
-    pub(super) fn release(&mut self) {
-        self.running = self.running.saturating_sub(1);
+    /// Frees the slot of work that was given up.
+    pub(super) fn release(&mut self, now: Time, since: Time) {
+        self.runs.given_up(now, since);
     }
 
     /// Returns how many requests run.
-    pub(super) const fn running(&self) -> u32 {
-        self.running
+    pub(super) fn running(&self) -> u32 {
+        self.runs.count()
     }
 
     /// Lets work wait; tells whether other work now waits behind it.
@@ -228,7 +224,7 @@
 
     /// Returns the work that is to run next, if a slot is free.
     pub(super) fn next(&mut self, now: Time) -> Option<WorkId> {
-        if self.gate.admits(now, self.running) {
+        if self.gate.admits(now, self.running()) {
             self.queue.pop()
         } else {
             None
@@ -239,15 +235,15 @@
     pub(super) fn load(&self, now: Time) -> LoadReport {
         let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         LoadReport {
-            in_flight: self.running.saturating_add(queued),
+            in_flight: self.running().saturating_add(queued),
             limit: self.gate.get(),
             phase: self.phase(),
-            wait: if self.queue.is_empty() && self.gate.admits(now, self.running) {
+            wait: if self.queue.is_empty() && self.gate.admits(now, self.running()) {
                 Duration::ZERO
             } else {
                 self.expected_wait(now, self.queue.len())
             },
-            service_time: self.service_time,
+            service_time: self.runs.service_time(now),
         }
     }
 
@@ -263,7 +259,7 @@
     fn expected_wait(&self, now: Time, place: usize) -> Duration {
         let ahead = u32::try_from(place).unwrap_or(u32::MAX);
         let rounds = ahead.saturating_add(1);
-        let for_slot = self.service_time.saturating_mul(rounds) / self.gate.get().max(1);
+        let for_slot = self.runs.service_time(now).saturating_mul(rounds) / self.gate.get().max(1);
         for_slot.max(self.gate.pace_wait(now, place))
     }
 }
--- a/crates/kernel/src/requests/admitting/expiry.rs
+++ b/crates/kernel/src/requests/admitting/expiry.rs
@@ -9,6 +9,7 @@
 use super::task::WaiterId;
 use super::waiter::Waiter;
 use super::work::Work;
+use super::work::WorkState;
 use crate::NotRun;
 use crate::ReplyOutcome;
 use crate::Unknown;
@@ -129,7 +130,9 @@
     }
 
     fn abort(&mut self, cx: &mut Context<'_>, id: WorkId) {
-        self.admission.release();
+        if let Some(WorkState::Running { since }) = self.works.get(&id).map(|w| w.state) {
+            self.admission.release(cx.now.mono, since);
+        }
         cx.actions.push(RequestAction::Abort { work: id });
         self.remove(cx, id, KeyOutcome::Lost);
     }
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -15,6 +15,7 @@
 mod pacer;
 mod parking;
 mod queue;
+mod runs;
 mod status;
 mod strangers;
 mod task;
@@ -254,7 +255,10 @@
         if own.name != work.handover.upstream {
             return Err(NotRun::NotHere);
         }
-        if !self.admission.can_finish(work.deadline - cx.now.mono) {
+        if !self
+            .admission
+            .can_finish(cx.now.mono, work.deadline - cx.now.mono)
+        {
             return Err(NotRun::Deadline);
         }
         Ok(())
@@ -300,7 +304,7 @@
             Outcome::Broken => Evidence::Reset,
             Outcome::Silent => Evidence::Overloaded,
         };
-        if self.admission.finish(now, evidence) {
+        if self.admission.finish(now, since, evidence) {
             self.refuse_late(cx);
         }
     }
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -171,6 +171,33 @@
     assert!(refused.count() >= 16, "the rest is refused at once");
 }
 
+/// A target turns slow; what it has run for long shows that before its answers.
+#[test]
+fn slow_target() {
+    let mut snapshot = snapshot(4);
+    tune(&mut snapshot, |s| {
+        for kind in s.kinds.values_mut() {
+            kind.target_latency = Some(Duration::from_millis(200));
+        }
+    });
+    let mut mesh = mesh(snapshot);
+    mesh.send("vm-1", RequestEvent::Examined { health: WARM });
+    for _ in 0..8 {
+        mesh.call("vm-1", stock());
+        mesh.advance(40);
+        mesh.answer("");
+    }
+    for _ in 0..4 {
+        mesh.call("vm-1", stock());
+    }
+    mesh.advance(800);
+    let call = mesh.call("vm-1", stock());
+    assert!(
+        matches!(mesh.answers.get(&call), Some(Answer::NotRun { .. })),
+        "it would wait for more than half of 200 ms"
+    );
+}
+
 #[test]
 fn hopeless_work() {
     let mut mesh = mesh(snapshot(1));
