Let a restarted node use the pace that its earlier life can't have used

Ruled out: starts (the slowest node was back 1.2 s after the first power came back), learning (25 ms), the time since the machine's start (no clock tells it).

Change: an earlier life kept to the pace too, so at most a quarter of the allowance lies in each quarter of the past second, and each runs out by itself. The sum over both lives still holds in any second (paced::restarted_node).

--- a/crates/kernel/src/requests/admitting/pacer.rs
+++ b/crates/kernel/src/requests/admitting/pacer.rs
@@ -47,8 +47,6 @@
     standing: Standing,
     /// Times of the requests within the latest window.
     sent: VecDeque<Time>,
-    /// What an earlier life of this process may have sent counts until this time.
-    full_until: Time,
     examine_at: Option<Time>,
     is_examining: bool,
     interval: Duration,
@@ -56,13 +54,18 @@
 
 impl Pacer {
     /// Makes the pacer of a process that starts now.
+    ///
+    /// An earlier life of the process may have sent as much as the pace allows
+    /// until this moment; in each part of the next window that much runs out.
     pub(super) fn new(now: Time, cold: ColdStart, allowed: usize) -> Self {
+        let in_part = allowed.div_ceil(PARTS);
+        let parts_ago = (0..allowed).rev().map(|n| n / in_part);
+        let sent = parts_ago.map(|parts| before(now, parts)).collect();
         Self {
             allowed,
             span: cold.span,
             standing: Standing::Unsure,
-            sent: VecDeque::new(),
-            full_until: now + WINDOW,
+            sent,
             examine_at: Some(now),
             is_examining: false,
             interval: EXAMINE_INTERVAL,
@@ -90,8 +93,7 @@
             Standing::Warm => true,
             Standing::Cold(until) if until <= now => true,
             Standing::Cold(_) | Standing::Unsure => {
-                now >= self.full_until
-                    && self.sent_within(now, WINDOW) < self.allowed
+                self.sent_within(now, WINDOW) < self.allowed
                     && self.sent_within(now, PART) < self.allowed_in_part()
             }
             Standing::Down => false,
@@ -106,7 +108,7 @@
             Standing::Cold(_) | Standing::Unsure => {
                 let whole = self.frees_at(self.allowed, WINDOW);
                 let part = self.frees_at(self.allowed_in_part(), PART);
-                let at = [whole, part, Some(self.full_until)];
+                let at = [whole, part];
                 at.into_iter().flatten().max().filter(|at| *at > now)
             }
         }
@@ -226,3 +228,13 @@
         self.sent.get(oldest).map(|at| *at + span)
     }
 }
+
+/// Returns the time that lies some parts of the window before another.
+fn before(now: Time, parts: usize) -> Time {
+    let parts = u32::try_from(parts).unwrap_or(u32::MAX);
+    let micros = PART.saturating_mul(parts).as_micros();
+    Time::from_micros(
+        now.as_micros()
+            .saturating_sub(u64::try_from(micros).unwrap_or(u64::MAX)),
+    )
+}
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -96,6 +96,17 @@
     assert!(most_in_a_second(&counts) <= COLD_RATE, "{counts:?}");
 }
 
+/// What an earlier life may have sent runs out part by part of a second.
+#[test]
+fn first_second() {
+    let mut mesh = Mesh::new(&Arc::new(snapshot(50)));
+    let counts = press(&mut mesh, STEPS);
+    let sent: usize = counts.iter().sum();
+    assert!(sent >= COLD_RATE / 2, "{counts:?}");
+    let quarter: usize = counts[..2].iter().sum();
+    assert_eq!(quarter, 0, "{counts:?}");
+}
+
 #[test]
 fn examined_warm() {
     let mut mesh = mesh(snapshot(50));
