Report a target as warm once its told cold start is over

Cause: the pace of a cold target ended at the time that it had told, but its phase did not; nodes reported "cold" from then on, so each handing node kept to its share of one request, and took each report older than a second for void.

Ruled out: examinations (none is due in the meantime, and none is needed).

Change: the phase follows the time as the pace does.

--- a/crates/kernel/src/requests/admitting/admission.rs
+++ b/crates/kernel/src/requests/admitting/admission.rs
@@ -153,7 +153,7 @@
     pub(super) fn overload(&self, now: Time) -> Refusal {
         self.refusal(
             now,
-            match self.gate.phase() {
+            match self.gate.phase(now) {
                 Phase::Down => NotRun::TargetDown,
                 Phase::Warm => NotRun::Overloaded,
                 _ => NotRun::ColdStart,
@@ -172,7 +172,7 @@
 
     /// Tells whether work at this place in the queue can end in `remaining` time.
     pub(super) fn fits(&self, now: Time, place: usize, remaining: Duration) -> bool {
-        self.gate.phase() != Phase::Down
+        self.gate.phase(now) != Phase::Down
             && self.expected_wait(now, place) + self.runs.service_time(now) < remaining
     }
 
@@ -237,7 +237,7 @@
         LoadReport {
             in_flight: self.running().saturating_add(queued),
             limit: self.gate.get(),
-            phase: self.phase(),
+            phase: self.phase(now),
             wait: if self.queue.is_empty() && self.gate.admits(now, self.running()) {
                 Duration::ZERO
             } else {
@@ -247,11 +247,11 @@
         }
     }
 
-    fn phase(&self) -> Phase {
+    fn phase(&self, now: Time) -> Phase {
         if self.is_target_draining {
             Phase::Draining
         } else {
-            self.gate.phase()
+            self.gate.phase(now)
         }
     }
 
--- a/crates/kernel/src/requests/admitting/gate.rs
+++ b/crates/kernel/src/requests/admitting/gate.rs
@@ -81,10 +81,10 @@
     }
 
     /// Returns the phase of the target.
-    pub(super) fn phase(&self) -> Phase {
+    pub(super) fn phase(&self, now: Time) -> Phase {
         match self {
             Self::Evidence(limit) => limit.phase(),
-            Self::Paced(paced) => paced.pacer.phase(),
+            Self::Paced(paced) => paced.pacer.phase(now),
         }
     }
 
--- a/crates/kernel/src/requests/admitting/pacer.rs
+++ b/crates/kernel/src/requests/admitting/pacer.rs
@@ -79,8 +79,9 @@
     }
 
     /// Returns the phase of the target.
-    pub(super) const fn phase(&self) -> Phase {
+    pub(super) fn phase(&self, now: Time) -> Phase {
         match self.standing {
+            Standing::Cold(until) if until <= now => Phase::Warm,
             Standing::Unsure | Standing::Cold(_) => Phase::Cold,
             Standing::Warm => Phase::Warm,
             Standing::Down => Phase::Down,
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -8,6 +8,7 @@
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::Health;
 use celeryshore_kernel::Outcome;
+use celeryshore_kernel::Phase;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_model::ColdStart;
 use celeryshore_model::Incarnation;
@@ -140,6 +141,19 @@
     assert!(most_in_a_second(&counts) > COLD_RATE, "{counts:?}");
 }
 
+/// The end of a cold start that was told needs no further sign.
+#[test]
+fn warm_again() {
+    let mut mesh = mesh(snapshot(50));
+    let cold_for = Duration::from_secs(2);
+    let health = Health::Good { cold_for };
+    mesh.send("vm-1", RequestEvent::Examined { health });
+    assert_eq!(mesh.status("vm-1").load.phase, Phase::Cold);
+    mesh.advance(2_100);
+    mesh.send("vm-1", RequestEvent::Tick);
+    assert_eq!(mesh.status("vm-1").load.phase, Phase::Warm);
+}
+
 #[test]
 fn urgent_first() {
     let mut snapshot = snapshot(1);
