Serve readiness from the operators' code, and refuse values that don't end

Cause: the readiness port repeated the loop of the operators' port. A packed value of more than 4 MiB from a peer was cut off there without a word and taken for whole; the document in it then failed to parse, with a misleading line.

Change: one loop for both ports, told which pages to show; a longer value makes the answer an error of the wire, which is reported as such.

Tests: catalog::endless_value fails before; catalog::values, long_value and published::readiness (404 for other pages, 503 while requests end) pass on the old code too, and were missing.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -38,6 +38,7 @@
 use crate::operators;
 use crate::operators::Metrics;
 use crate::operators::Operators;
+use crate::operators::Pages;
 use crate::peers;
 use crate::settings::PortName;
 use crate::target;
@@ -125,7 +126,11 @@
             ex.spawn(async move { timers.run().await }),
             ex.spawn(peers::listen(driver.clone(), ports.peer)),
             ex.spawn(peers::probe_idle(ex, driver.peers.clone())),
-            ex.spawn(operators::listen(operators.clone(), ports.operators)),
+            ex.spawn(operators::listen(
+                operators.clone(),
+                ports.operators,
+                Pages::All,
+            )),
             ex.spawn(metrics.upkeep()),
             ex.spawn(driver.clone().tick_requests()),
         ];
@@ -133,8 +138,8 @@
             tasks.push(ex.spawn(driver.clone().tick_feed()));
             tasks.push(ex.spawn(target::examine(driver.clone())));
             if let Some(listener) = ports.ready {
-                let path = store.adapter.ready_path();
-                tasks.push(ex.spawn(operators::listen_ready(operators, listener, path)));
+                let pages = Pages::Readiness(store.adapter.ready_path());
+                tasks.push(ex.spawn(operators::listen(operators, listener, pages)));
             }
         } else {
             tasks.push(ex.spawn(driver.clone().tick_fleet()));
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -1,9 +1,9 @@
-//! Operators' port: health, metrics, status and the state dump.
+//! Operators' port: health, metrics, status and the state dump; and the port at which
+//! the platform asks whether callers may be sent here.
 
 mod dump;
 mod metrics;
 mod page;
-mod ready;
 mod status;
 
 use std::net::TcpListener;
@@ -19,7 +19,6 @@
 use self::dump::dump_section;
 pub(crate) use self::metrics::Metrics;
 use self::page::Page;
-pub(crate) use self::ready::listen_ready;
 use self::status::Status;
 use crate::Result;
 use crate::callers::Callers;
@@ -42,20 +41,29 @@
     pub(crate) metrics: Metrics,
 }
 
+/// What a port shows.
+#[derive(Clone, Copy)]
+pub(crate) enum Pages {
+    /// All that operators may see.
+    All,
+    /// Readiness alone, at this path.
+    Readiness(&'static str),
+}
+
 /// Accepts connections until the task is dropped.
-pub(crate) async fn listen(operators: Arc<Operators>, listener: Async<TcpListener>) {
+pub(crate) async fn listen(operators: Arc<Operators>, listener: Async<TcpListener>, pages: Pages) {
     loop {
         let Some(stream) = net::accept(&listener).await else {
             continue;
         };
-        let served = serve(operators.clone(), stream);
+        let served = serve(operators.clone(), stream, pages);
         operators.callers.driver.spawn(served);
     }
 }
 
-async fn serve(operators: Arc<Operators>, stream: Stream) {
+async fn serve(operators: Arc<Operators>, stream: Stream, pages: Pages) {
     let mut conn = Connection::new(stream);
-    while let Ok(Next::Read) = serve_one(&operators, &mut conn).await {}
+    while let Ok(Next::Read) = serve_one(&operators, &mut conn, pages).await {}
 }
 
 /// What becomes of a connection.
@@ -64,13 +72,18 @@
     Close,
 }
 
-async fn serve_one(operators: &Operators, conn: &mut Connection) -> Result<Next> {
+async fn serve_one(operators: &Operators, conn: &mut Connection, pages: Pages) -> Result<Next> {
     let read = net::within(IDLE_TIMEOUT, http::read_request(conn, LIMITS)).await;
     let Some(incoming) = read.ok_or(Protocol::Timeout)?? else {
         return Ok(Next::Close);
     };
     let request = incoming.request;
-    let response = answer(operators, &request);
+    let page = match pages {
+        Pages::All => page(operators, &request),
+        Pages::Readiness(path) if request.path == path => ready(operators),
+        Pages::Readiness(_) => Page::NotFound,
+    };
+    let response = HttpResponse::from(page);
     let bytes = http::encode_response(&response, &request.method, incoming.closes).await?;
     let written = net::within(IDLE_TIMEOUT, conn.write(&bytes)).await;
     written.ok_or(Protocol::Timeout)??;
@@ -81,10 +94,10 @@
     })
 }
 
-fn answer(operators: &Operators, request: &HttpRequest) -> HttpResponse {
+fn page(operators: &Operators, request: &HttpRequest) -> Page {
     let path = std::str::from_utf8(&request.path).unwrap_or_default();
     let path = path.split('?').next().unwrap_or_default();
-    let page = match path {
+    match path {
         "/alive" => Page::text("alive\n"),
         "/ready" => ready(operators),
         "/metrics" => Page::text(operators.metrics.render(&operators.callers)),
@@ -94,8 +107,7 @@
             Some(name) => section(operators, name),
             None => Page::NotFound,
         },
-    };
-    page.into()
+    }
 }
 
 fn ready(operators: &Operators) -> Page {
--- a/crates/node/tests/published.rs
+++ b/crates/node/tests/published.rs
@@ -271,3 +271,16 @@
     next.send(request("GET", "/look/1", "i2"));
     wait_for(|| heads.lock().unwrap().len() == 2);
 }
+
+#[test]
+fn readiness() {
+    let (node, vm, _) = start(signed);
+    assert_eq!(call(vm.ready(), "GET", "/status", "").status(), 404);
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("GET", "/look/slow", "r1"));
+    thread::sleep(Duration::from_millis(50));
+    let drained = support::drain(node);
+    wait_for(|| call(vm.ready(), "GET", "/v1/ready", "").status() == 503);
+    assert_eq!(caller.receive().expect("an answer").body, "r1");
+    drained.join().unwrap();
+}
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -145,10 +145,13 @@
         RawValue::Plain(value) => Ok(value),
         RawValue::Deflated(deflated) => {
             let mut value = Vec::new();
-            ZlibDecoder::new(&deflated[..])
-                .take(MAX_VALUE_BYTES)
+            let read = ZlibDecoder::new(&deflated[..])
+                .take(MAX_VALUE_BYTES + 1)
                 .read_to_end(&mut value)
                 .map_err(|_| Error::value("deflated"))?;
+            if read as u64 > MAX_VALUE_BYTES {
+                return Err(Error::value("deflated"));
+            }
             Ok(value.into())
         }
     }
--- /dev/null
+++ b/crates/wire/tests/catalog.rs
@@ -0,0 +1,69 @@
+//! What nodes pass on of the platform's store, to bytes and back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryshore_kernel::CatalogAnswer;
+use celeryshore_kernel::Item;
+use celeryshore_kernel::ItemKey;
+use celeryshore_kernel::Position;
+use celeryshore_kernel::StoreRevision;
+use celeryshore_kernel::StoreSection;
+use celeryshore_model::Incarnation;
+use celeryshore_model::Version;
+use celeryshore_wire::ReplyFrame;
+
+const MEGABYTE: usize = 1_024 * 1_024;
+
+fn answer(value: Option<Bytes>) -> CatalogAnswer {
+    let item = Item {
+        key: ItemKey::new("op/config"),
+        revision: StoreRevision(8),
+        value,
+    };
+    CatalogAnswer {
+        position: Position {
+            incarnation: Incarnation(7),
+            sequence: 3,
+        },
+        age: Some(Duration::from_millis(20)),
+        version: Version::default(),
+        revisions: [StoreRevision(8), StoreRevision(9)],
+        is_whole: true,
+        items: vec![(StoreSection::Configuration, item)],
+    }
+}
+
+fn encode(answer: CatalogAnswer) -> Bytes {
+    ReplyFrame::Catalog(Box::new(answer)).encode()
+}
+
+fn survives(value: Option<Bytes>) {
+    let sent = answer(value);
+    let frame = encode(sent.clone());
+    match ReplyFrame::decode(frame).unwrap() {
+        ReplyFrame::Catalog(received) => assert_eq!(*received, sent),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn values() {
+    survives(None);
+    survives(Some(Bytes::new()));
+    survives(Some(Bytes::from_static(b"{}")));
+    survives(Some(Bytes::from(vec![b'r'; 3 * MEGABYTE])));
+}
+
+#[test]
+fn long_value() {
+    let routes = "{\"prefix\":\"/stock/\"}".repeat(5_000);
+    let frame = encode(answer(Some(routes.clone().into())));
+    assert!(frame.len() < routes.len() / 10, "{} bytes", frame.len());
+}
+
+#[test]
+fn endless_value() {
+    let frame = encode(answer(Some(Bytes::from(vec![b'r'; 5 * MEGABYTE]))));
+    assert!(ReplyFrame::decode(frame).is_err());
+}
