End and go on although nobody reads the log

Cause: found by the test that was missing. With a full pipe on standard output a drained node waited for its logger for as long as nobody read (30 s in the test; the platform kills after 6 s). With a closed pipe the logger's thread panicked at its first line, and the next line could panic in whatever task wrote it.

Ruled out: requests that wait for a line (20 in less than 2 s on a full pipe, before and after).

--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -21,6 +21,7 @@
 use celeryshore_kernel::Requests;
 use celeryshore_kernel::RequestsConfig;
 use celeryshore_kernel::RequestsStatus;
+use celeryshore_kernel::Terms;
 use celeryshore_kernel::WorkId;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
@@ -77,6 +78,8 @@
     /// Messages to these VMs are kept back until they are released.
     pub held: BTreeSet<VmName>,
     pub kept: Vec<(VmName, RequestEvent)>,
+    /// Terms of the nodes that are started from now on.
+    pub terms: Terms,
     latest: u64,
 }
 
@@ -119,6 +122,7 @@
             catch_ups: 0,
             held: BTreeSet::new(),
             kept: Vec::new(),
+            terms: Terms::default(),
             latest: 0,
         }
     }
@@ -137,7 +141,7 @@
             zone: zone.parse().expect("a zone"),
             incarnation: Incarnation(self.latest),
             seed: self.latest,
-            terms: celeryshore_kernel::Terms::default(),
+            terms: self.terms.clone(),
         };
         let node = Node {
             requests: Requests::new(cfg, self.now),
--- a/crates/kernel/tests/poison.rs
+++ b/crates/kernel/tests/poison.rs
@@ -6,8 +6,12 @@
 
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
+use celeryshore_kernel::CrashEvidence;
+use celeryshore_kernel::Health;
 use celeryshore_kernel::NotRun;
 use celeryshore_kernel::Outcome;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::Terms;
 use celeryshore_kernel::Unknown;
 use celeryshore_model::HttpRequest;
 
@@ -16,6 +20,7 @@
 use crate::common::deployment::ordering;
 use crate::common::deployment::resent;
 use crate::common::deployment::stock;
+use crate::common::name;
 use crate::common::response;
 
 fn mesh() -> Mesh {
@@ -142,3 +147,60 @@
     mesh.finish(&run, Outcome::Answered(response(200, "")));
     assert!(matches!(mesh.answers[&call], Answer::Whole(_)));
 }
+
+const VMS: [&str; 4] = ["vm-1", "vm-2", "vm-3", "vm-4"];
+
+/// Nodes of a platform whose targets lose answers without a crash as well.
+fn lossy_mesh() -> Mesh {
+    let snapshot = Arc::new(ordering(&["glasgow", "perth", "dundee", "ayr"]));
+    let mut mesh = Mesh::empty();
+    mesh.terms = Terms {
+        crash_evidence: CrashEvidence::LostTarget,
+        ..Terms::default()
+    };
+    for vm in VMS {
+        mesh.start(&name(vm), &snapshot);
+    }
+    mesh.advance(2_000);
+    mesh
+}
+
+fn crash() -> HttpRequest {
+    HttpRequest {
+        body: "crash".into(),
+        ..order()
+    }
+}
+
+/// Lets the answers of all runs be lost; returns the VMs that ran them.
+fn lose_answers(mesh: &mut Mesh) -> Vec<String> {
+    let runs = mesh.runs.clone();
+    for run in &runs {
+        mesh.finish(run, Outcome::Broken);
+    }
+    runs.iter().map(|run| run.vm.to_string()).collect()
+}
+
+#[test]
+fn lost_answers() {
+    let mut mesh = lossy_mesh();
+    for vm in VMS.into_iter().cycle().take(8) {
+        let call = mesh.call(vm, crash());
+        assert!(!is_held_off(&mesh, call), "no target is gone");
+        lose_answers(&mut mesh);
+    }
+    assert_eq!(mesh.history.len(), 8);
+}
+
+#[test]
+fn lost_targets() {
+    let mut mesh = lossy_mesh();
+    for vm in VMS.into_iter().cycle().take(8) {
+        mesh.call(vm, crash());
+        for gone in lose_answers(&mut mesh) {
+            let health = Health::Unreachable;
+            mesh.send(&gone, RequestEvent::Examined { health });
+        }
+    }
+    assert_eq!(mesh.history.len(), 2, "held off at all nodes after two");
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub use crate::error::Category;
 pub use crate::error::Error;
 pub use crate::error::Result;
+pub use crate::log::LogGuard;
 pub use crate::log::logger;
 pub use crate::node::Addresses;
 pub use crate::node::Node;
--- /dev/null
+++ b/crates/node/tests/log_lines.rs
@@ -0,0 +1,117 @@
+//! Log lines: bounded in number, and never in the way of a request.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::support;
+use crate::support::Fake;
+use crate::support::Vm;
+use crate::support::call;
+use crate::support::read_message;
+use crate::support::reply_ok;
+
+/// Lines about requests that a node writes in a second.
+const LINES_PER_SECOND: usize = 20;
+/// Bytes that a pipe holds, but for parts of its last page.
+const PIPE_BYTES: u64 = 60 * 1_024;
+/// Lines that fill a pipe and the logger's own queue.
+const MANY: usize = 4_000;
+/// Datagrams that a socket and the logger's queue hold at once.
+const BATCH: usize = 64;
+
+fn start(vm: Vm, log: &str) -> Child {
+    support::start_platform(vm, support::rules(&[vm]));
+    let path = format!("{}/log-{log}-{vm:?}.yaml", env!("CARGO_TARGET_TMPDIR"));
+    let settings = support::settings(vm, vm, &format!("log: {log}\n"));
+    std::fs::write(&path, settings).unwrap();
+    let process = Command::new(env!("CARGO_BIN_EXE_celeryshore"))
+        .args(["--settings", &path])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    support::wait_for(|| TcpStream::connect(vm.callers()).is_ok());
+    support::wait_for(|| call(vm.callers(), "GET", "/none", "").reason() == Some("no-route"));
+    process
+}
+
+fn terminate(process: &Child) {
+    let kill = Command::new("kill").arg(process.id().to_string()).status();
+    assert!(kill.unwrap().success());
+}
+
+#[test]
+fn many_failures() {
+    let vm = Vm::next();
+    Fake::start(vm.target(), |mut stream| {
+        let _ = read_message(&mut stream);
+    });
+    let mut process = start(vm, "info");
+    let stdout = BufReader::new(process.stdout.take().unwrap());
+    let begun = Instant::now();
+    for _ in 0..20 * LINES_PER_SECOND {
+        call(vm.callers(), "POST", "/orders", "");
+    }
+    let seconds = usize::try_from(begun.elapsed().as_secs()).unwrap() + 2;
+    thread::sleep(Duration::from_millis(1_100));
+    call(vm.callers(), "POST", "/orders", "");
+    terminate(&process);
+    assert!(process.wait().unwrap().success());
+    let lines = stdout.lines().map_while(Result::ok);
+    let lines: Vec<_> = lines.filter(|l| l.contains("requests: ")).collect();
+    assert!(lines.len() <= seconds * LINES_PER_SECOND, "{}", lines.len());
+    let last = lines.last().expect("a line");
+    assert!(!last.contains("left_out: 0"), "{last}");
+}
+
+#[test]
+fn stalled_pipe() {
+    let vm = Vm::next();
+    Fake::target(vm, |_| reply_ok("whole"));
+    let mut process = start(vm, "debug");
+    let stray = UdpSocket::bind((vm.peer().ip(), 0)).unwrap();
+    for i in 0..MANY {
+        stray.send_to(b"stray", vm.peer()).unwrap();
+        if i.is_multiple_of(BATCH) {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+    let begun = Instant::now();
+    for _ in 0..20 {
+        assert_eq!(call(vm.callers(), "GET", "/stock", "").body, "whole");
+    }
+    assert!(begun.elapsed() < Duration::from_secs(2), "requests wait");
+    terminate(&process);
+    support::wait_for(|| process.try_wait().unwrap().is_some());
+    let mut stdout = process.stdout.take().unwrap();
+    let read = std::io::copy(&mut stdout, &mut std::io::sink()).unwrap();
+    assert!(read >= PIPE_BYTES, "the pipe was not full: {read} bytes");
+}
+
+#[test]
+fn closed_pipe() {
+    let vm = Vm::next();
+    Fake::start(vm.target(), |mut stream| {
+        let _ = read_message(&mut stream);
+    });
+    let mut process = start(vm, "info");
+    drop(process.stdout.take());
+    for _ in 0..2 * LINES_PER_SECOND {
+        assert_eq!(call(vm.callers(), "POST", "/orders", "").status(), 502);
+    }
+    terminate(&process);
+    assert!(process.wait().unwrap().success());
+    let mut stderr = String::new();
+    let mut said = process.stderr.take().unwrap();
+    said.read_to_string(&mut stderr).unwrap();
+    assert_eq!(stderr, "", "no task ends by a panic");
+}
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod drain;
 mod hand_over;
+mod log_lines;
 mod ports;
 mod published;
 mod settings;
