Refuse work at the target's own node once the target says that it leaves

Handing nodes with old views went on choosing a target that leaves. Its own node had heard it 1.2 s before the bound, but checked only evacuations and its own leaving, never the state of its target; docs/PLATFORM.md said that it did.

Ruled out: lost updates (each node's revisions only grow), removals held back.

Change: hand-overs and waiting work are refused as "leaving" then.

--- a/crates/kernel/src/requests/admitting/check.rs
+++ b/crates/kernel/src/requests/admitting/check.rs
@@ -1,6 +1,8 @@
 //! Checks that a hand-over passes before it asks for a slot.
 
 use celeryshore_model::Semantics;
+use celeryshore_model::Upstream;
+use celeryshore_model::UpstreamState;
 
 use crate::Delivery;
 use crate::Handover;
@@ -45,7 +47,16 @@
     if cx.view.is_leaving() {
         return Err(NotRun::Leaving);
     }
-    Ok(())
+    check_serving(own)
+}
+
+/// Checks that the own target takes new work: handing nodes whose views are older
+/// go on choosing it for a while after it has said that it leaves.
+pub(super) fn check_serving(own: &Upstream) -> Result<()> {
+    match own.state {
+        UpstreamState::Serving => Ok(()),
+        UpstreamState::Leaving => Err(NotRun::Leaving),
+    }
 }
 
 fn check_kind(cx: &Context<'_>, handover: &Handover) -> Result<()> {
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -255,6 +255,7 @@
         if own.name != work.handover.upstream {
             return Err(NotRun::NotHere);
         }
+        check::check_serving(own)?;
         if !self
             .admission
             .can_finish(cx.now.mono, work.deadline - cx.now.mono)
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -16,6 +16,7 @@
 use celeryshore_model::Rate;
 use celeryshore_model::Slots;
 use celeryshore_model::Snapshot;
+use celeryshore_model::UpstreamState;
 
 use crate::common::Mesh;
 use crate::common::deployment::DEADLINE;
@@ -236,6 +237,49 @@
     assert!(matches!(mesh.answers[&waiting], Answer::NotRun { .. }));
 }
 
+/// Nodes that have not heard yet that a target leaves go on choosing it; its own
+/// node has heard it (incident inc-5d96).
+#[test]
+fn leaving_target() {
+    let mut snapshot = ordering(&["glasgow", "glasgow"]);
+    tune(&mut snapshot, |s| {
+        s.limits.slots = Slots::new(1);
+        s.limits.cold_start = Some(ColdStart {
+            rate: Rate::from_per_mille(10_000),
+            span: Duration::from_secs(3),
+        });
+    });
+    let mut mesh = mesh(snapshot.clone());
+    mesh.advance(1_500);
+    for vm in ["vm-1", "vm-2"] {
+        mesh.send(vm, RequestEvent::Examined { health: WARM });
+    }
+    for _ in 0..4 {
+        mesh.call("vm-2", stock());
+    }
+    let at_first = |mesh: &Mesh| mesh.history.iter().filter(|r| r.vm == name("vm-1")).count();
+    assert_eq!(at_first(&mesh), 1, "the others wait");
+    let mut leaving = snapshot;
+    leaving.version.index.0 += 1;
+    for upstream in leaving.upstreams.values_mut() {
+        if upstream.vm == name("vm-1") {
+            upstream.state = UpstreamState::Leaving;
+        }
+    }
+    mesh.send("vm-1", RequestEvent::Configured(Arc::new(leaving)));
+    while !mesh.runs.is_empty() {
+        mesh.answer("");
+    }
+    for _ in 0..8 {
+        mesh.call("vm-2", stock());
+        mesh.advance(10);
+        while !mesh.runs.is_empty() {
+            mesh.answer("");
+        }
+    }
+    assert_eq!(at_first(&mesh), 1, "nothing more reaches it");
+}
+
 /// A target that is down leaves the platform's list; the next one at its address
 /// serves as soon as an examination shows that it is warm.
 #[test]
