--- a/crates/wire/tests/catalog.rs
+++ b/crates/wire/tests/catalog.rs
@@ -17,7 +17,7 @@
 
 fn answer(value: Option<Bytes>) -> CatalogAnswer {
     let item = Item {
-        key: ItemKey::new("op/config"),
+        key: ItemKey::new("conf"),
         revision: StoreRevision(8),
         value,
     };
