Take a broken read of the store for no outage

Some targets leave by the removal of their entry alone; with a read's age the held removal came after the 2.5 s that such a target is given.

Change: the store was away only if it was lost for a second or more, from the start of a read that got no answer, or from the break of a connection.

Before: feed::broken_read fails. After: it passes, feed::lapsed_entry and returned_entry as well.

--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -105,8 +105,8 @@
     store_reads: u64,
     /// Answers of the store.
     answers: u64,
-    /// Whether the latest read of the store failed.
-    is_store_lost: bool,
+    /// Since when the store may be away, if the latest read of it failed.
+    lost_since: Option<Time>,
 }
 
 /// A question to a peer that is under way.
@@ -154,7 +154,7 @@
             latest: Time::ZERO,
             store_reads: 0,
             answers: 0,
-            is_store_lost: false,
+            lost_since: None,
             cfg,
         }
     }
--- a/crates/kernel/src/feed/section_reader.rs
+++ b/crates/kernel/src/feed/section_reader.rs
@@ -85,6 +85,11 @@
         self.section
     }
 
+    /// Returns when the latest read began.
+    pub(super) const fn started_at(&self) -> Option<Time> {
+        self.started_at
+    }
+
     /// Tells whether the latest read failed.
     pub(super) const fn is_lost(&self) -> bool {
         self.backoff.failures() > 0
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -136,7 +136,7 @@
         match choice {
             Choice::Store => {
                 self.read_store(now);
-                if self.is_store_lost && self.asking.is_none() {
+                if self.lost_since.is_some() && self.asking.is_none() {
                     self.ask_anyone(now);
                 }
             }
@@ -155,7 +155,7 @@
         };
         if self.source.as_ref() != Some(&source) {
             // Whether the store answers is not known to a node that does not read it.
-            self.is_store_lost = false;
+            self.lost_since = None;
             self.source = Some(source.clone());
             self.out
                 .push(FeedAction::Report(FeedReport::Source { source }));
--- a/crates/kernel/src/feed/take.rs
+++ b/crates/kernel/src/feed/take.rs
@@ -29,6 +29,10 @@
 /// back, if their targets live: two seconds by the platform's promise, and the
 /// time of one read.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// Shortest time without the store in which entries may have lapsed: targets renew
+/// them, and connections that break now and then are no outage. A removal that is
+/// held back for nothing costs most of the time that a leaving target is given.
+const SHORTEST_OUTAGE: Duration = Duration::from_secs(1);
 /// Age beyond which a peer's view is too old to follow: the longest wait of a
 /// read of the store, and a second for its way.
 const MAX_AGE: Duration = Duration::from_secs(3);
@@ -84,7 +88,13 @@
         if let Some(reader) = self.readers.iter_mut().find(|r| r.is_current(fetch)) {
             let was_lost = reader.is_lost();
             reader.failed(now, failure, &mut self.rng);
-            self.is_store_lost |= reader.is_lost();
+            if reader.is_lost() {
+                let since = match failure {
+                    FetchFailure::Timeout => reader.started_at().unwrap_or(now),
+                    _ => now,
+                };
+                self.lost_since = Some(self.lost_since.map_or(since, |at| at.min(since)));
+            }
             if reader.is_lost() && !was_lost {
                 self.out.push(FeedAction::Report(FeedReport::StoreLost {
                     section: reader.section(),
@@ -226,13 +236,13 @@
         if section == Section::Upstreams || self.confirmed_at.is_none() {
             self.confirmed_at = Some(now);
         }
-        let is_return = std::mem::take(&mut self.is_store_lost);
-        if is_return || self.answers == 0 {
+        let lost_since = self.lost_since.take();
+        if lost_since.is_some() || self.answers == 0 {
             let revision = self.catalog.revision(section);
             let report = FeedReport::StoreRegained { section, revision };
             self.out.push(FeedAction::Report(report));
         }
-        if is_return {
+        if lost_since.is_some_and(|since| now - since >= SHORTEST_OUTAGE) {
             self.returned_at = Some(now);
         }
         self.answers += 1;
--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -511,3 +511,54 @@
     earlier.advance(1_000);
     assert_eq!(watches(&earlier), 2);
 }
+
+/// A peer that fails again and again, with successes between, is not followed for
+/// longer and longer.
+#[test]
+fn flapping_peer() {
+    let (mut node, fetch, first) = follower();
+    let mut failed = fetch;
+    let mut times = Vec::new();
+    for _ in 0..3 {
+        let failure = FetchFailure::Unreachable;
+        node.send(FeedEvent::Failed {
+            fetch: failed,
+            failure,
+        });
+        let begun = node.now;
+        failed = loop {
+            match node.asked() {
+                Some((fetch, peer)) if peer == first => break fetch,
+                Some((fetch, _)) => {
+                    let failure = FetchFailure::Unreachable;
+                    node.send(FeedEvent::Failed { fetch, failure });
+                }
+                None => node.advance(100),
+            }
+            assert!(node.now < begun + 30_000, "it is followed again at last");
+        };
+        times.push(node.now - begun);
+    }
+    assert!(times[0] < 2_000, "{times:?}");
+    assert!(times[2] >= 2 * times[0], "{times:?}");
+}
+
+/// A store whose connections break every second was not away: a removal after such
+/// a break is a target that leaves (incident inc-5d96).
+#[test]
+fn broken_read() {
+    let mut node = reader();
+    let other = VMS.iter().find(|vm| node.has(vm)).expect("an upstream");
+    node.advance(1_000);
+    let fetch = node.read(StoreSection::Upstreams).expect("a read");
+    let failure = FetchFailure::Unreachable;
+    node.send(FeedEvent::Failed { fetch, failure });
+    node.advance(300);
+    let fetch = node.read(StoreSection::Upstreams).expect("a read");
+    let changes = Changes {
+        items: vec![removed(other, 20)],
+        revision: StoreRevision(20),
+    };
+    node.send(FeedEvent::Watched { fetch, changes });
+    assert!(!node.has(other));
+}
