Tell by kind what a target is asked, runs and fails

When callers of one kind are refused, logs and metrics could not say what ran meanwhile: lines name refused requests only, at most 20 a second, and counters know neither kind nor target.

Each node now counts the requests for its own target by kind: asked, refused by reason, answered, failed, shed, lost, given up, and the time of slots they took. The dump and the metrics show the counts; the log has a line a kind and second while requests are refused or fail.

Test: counters::kinds_apart.

--- a/crates/kernel/src/requests/admitting/expiry.rs
+++ b/crates/kernel/src/requests/admitting/expiry.rs
@@ -4,6 +4,7 @@
 
 use super::Admitting;
 use super::admission::Refusal;
+use super::tally::RunEnd;
 use super::task::JudgementId;
 use super::task::Task;
 use super::task::WaiterId;
@@ -54,6 +55,7 @@
         };
         work.origin = None;
         if !work.is_running() {
+            self.tally.withdrawn(&work.handover.kind);
             self.drop_queued(cx, id);
         } else if !work.is_keyed() {
             self.abort(cx, id);
@@ -112,6 +114,9 @@
 
     /// Ends waiting work.
     fn end(&mut self, cx: &mut Context<'_>, id: WorkId, outcome: ReplyOutcome) {
+        if let (Some(work), ReplyOutcome::NotRun { reason, .. }) = (self.works.get(&id), &outcome) {
+            self.tally.refused(&work.handover.kind, *reason);
+        }
         self.answer_origin(cx, id, outcome);
         self.drop_queued(cx, id);
     }
@@ -130,8 +135,13 @@
     }
 
     fn abort(&mut self, cx: &mut Context<'_>, id: WorkId) {
-        if let Some(WorkState::Running { since }) = self.works.get(&id).map(|w| w.state) {
-            self.admission.release(cx.now.mono, since);
+        if let Some(work) = self.works.get(&id)
+            && let WorkState::Running { since } = work.state
+        {
+            let now = cx.now.mono;
+            self.tally
+                .ended(&work.handover.kind, RunEnd::GivenUp, now - since);
+            self.admission.release(now, since);
         }
         cx.actions.push(RequestAction::Abort { work: id });
         self.remove(cx, id, KeyOutcome::Lost);
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -18,6 +18,7 @@
 mod runs;
 mod status;
 mod strangers;
+mod tally;
 mod task;
 mod waiter;
 mod work;
@@ -25,6 +26,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use celeryshore_model::Dialect;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
 use celeryshore_model::VmName;
@@ -39,6 +41,8 @@
 use self::limit::Evidence;
 use self::own_target::OwnTarget;
 use self::strangers::Strangers;
+use self::tally::RunEnd;
+use self::tally::Tally;
 use self::task::JudgementId;
 use self::task::ParkedId;
 use self::task::Task;
@@ -85,6 +89,7 @@
     journal: Journal<WaiterId>,
     strangers: Strangers,
     losses: Losses,
+    tally: Tally,
 }
 
 impl Admitting {
@@ -104,6 +109,7 @@
             journal: Journal::new(JournalConfig::new(vm), now),
             strangers: Strangers::default(),
             losses: Losses::default(),
+            tally: Tally::new(now.mono),
         }
     }
 
@@ -169,7 +175,11 @@
         }
         match check::check(cx, &arrival.handover) {
             Ok(()) => self.admit(cx, arrival, None),
-            Err(reason) => self.reply(cx, origin, Refusal::new(reason).into()),
+            Err(reason) => {
+                self.tally.asked(&arrival.handover.kind);
+                self.tally.refused(&arrival.handover.kind, reason);
+                self.reply(cx, origin, Refusal::new(reason).into());
+            }
         }
     }
 
@@ -203,7 +213,9 @@
             priority,
         };
         let verdict = self.admission.judge(cx.now.mono, demand);
+        self.tally.asked(&arrival.handover.kind);
         if let Verdict::Refuse(refusal) = verdict {
+            self.tally.refused(&arrival.handover.kind, refusal.reason);
             self.reply(cx, arrival.origin, refusal.into());
             if let Some(copy) = copy {
                 self.end_key(cx, &copy, KeyOutcome::NotRun);
@@ -290,6 +302,8 @@
         };
         let now = cx.now.mono;
         let dialect = &cx.view.cfg().terms.dialect;
+        let end = run_end(dialect, outcome);
+        self.tally.ended(&work.handover.kind, end, now - since);
         let evidence = match outcome {
             Outcome::Answered(response) if headers::is_misdirected(dialect, response) => {
                 Evidence::Reset
@@ -310,6 +324,13 @@
         }
     }
 
+    /// Tells the log what happened at the target lately.
+    pub(super) fn summarize(&mut self, cx: &mut Context<'_>) {
+        let summaries = self.tally.summary(cx.now.mono).into_iter();
+        let actions = summaries.map(|summary| RequestAction::Summarize(Box::new(summary)));
+        cx.actions.extend(actions);
+    }
+
     fn reply(&self, cx: &mut Context<'_>, origin: Origin, outcome: ReplyOutcome) {
         let reply = Reply {
             outcome,
@@ -321,6 +342,16 @@
     }
 }
 
+/// Returns how a run ended.
+fn run_end(dialect: &Dialect, outcome: &Outcome) -> RunEnd {
+    match outcome {
+        Outcome::Answered(response) if headers::is_not_run(dialect, response) => RunEnd::Shed,
+        Outcome::Answered(response) if headers::is_failure(response) => RunEnd::Failed,
+        Outcome::Answered(_) => RunEnd::Answered,
+        Outcome::NeverSent | Outcome::Broken | Outcome::Silent => RunEnd::Lost,
+    }
+}
+
 /// Returns the time left for the work, without the way of the reply.
 fn remaining(cx: &Context<'_>, handover: &Handover) -> Duration {
     let remaining = handover.remaining.saturating_sub(cx.lost_time);
--- a/crates/kernel/src/requests/admitting/status.rs
+++ b/crates/kernel/src/requests/admitting/status.rs
@@ -1,9 +1,12 @@
 //! Summary of the work at the own target.
 
+use std::collections::BTreeMap;
+
 use celeryshore_model::ByteSize;
 use celeryshore_model::Time;
 
 use super::Admitting;
+use crate::KindCounts;
 use crate::LoadReport;
 
 /// Summary of the work at the own target.
@@ -24,6 +27,14 @@
 }
 
 impl Admitting {
+    /// Returns what became of the requests for the own target, by kind.
+    pub(in crate::requests) fn kind_counts(&self) -> BTreeMap<String, KindCounts> {
+        let counts = self.tally.counts().iter();
+        counts
+            .map(|(kind, c)| (kind.to_string(), c.clone()))
+            .collect()
+    }
+
     /// Returns a summary.
     pub(in crate::requests) fn status(&self, now: Time) -> AdmittingStatus {
         AdmittingStatus {
--- a/crates/kernel/src/requests/counters.rs
+++ b/crates/kernel/src/requests/counters.rs
@@ -49,6 +49,7 @@
             RequestAction::Abandon { .. }
             | RequestAction::Examine { .. }
             | RequestAction::Report(_)
+            | RequestAction::Summarize(_)
             | RequestAction::Reply { .. }
             | RequestAction::CatchUp { .. }
             | RequestAction::WakeAt(_)
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -23,6 +23,7 @@
     pub(super) fn handle(&mut self, cx: &mut Context<'_>, event: RequestEvent) {
         self.step(cx, event);
         self.deliver_all(cx);
+        self.admitting.summarize(cx);
     }
 
     fn deliver_all(&mut self, cx: &mut Context<'_>) {
--- a/crates/kernel/src/requests/event.rs
+++ b/crates/kernel/src/requests/event.rs
@@ -20,6 +20,7 @@
 use crate::Phase;
 use crate::RequestReport;
 use crate::Unknown;
+use crate::WorkSummary;
 
 /// A caller's request at the node that it came to; numbered by the driver.
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -216,6 +217,8 @@
     },
     /// Tell the log of a decision.
     Report(Box<RequestReport>),
+    /// Tell the log what the own target was asked and did lately, of one kind.
+    Summarize(Box<WorkSummary>),
     /// Send [`RequestEvent::Tick`] at this time.
     WakeAt(Time),
     /// All work is finished after [`RequestEvent::Drain`].
--- a/crates/kernel/src/requests/status.rs
+++ b/crates/kernel/src/requests/status.rs
@@ -1,5 +1,7 @@
 //! Summary of the decisions about requests.
 
+use std::collections::BTreeMap;
+
 use celeryshore_model::ByteSize;
 use celeryshore_model::Incarnation;
 use celeryshore_model::Time;
@@ -7,6 +9,7 @@
 use celeryshore_model::VmName;
 use serde::Serialize;
 
+use crate::KindCounts;
 use crate::LoadReport;
 use crate::requests::RequestCounters;
 use crate::requests::Requests;
@@ -62,6 +65,8 @@
     pub suspected: usize,
     /// Retries of calls.
     pub retries: u64,
+    /// What became of the requests for the own target, by kind.
+    pub kinds: BTreeMap<String, KindCounts>,
     /// What became of requests so far.
     pub counters: RequestCounters,
 }
@@ -86,6 +91,7 @@
             answers: admitting.answers,
             suspected: self.suspicions.len(),
             retries: self.sides.handing.retries(),
+            kinds: self.sides.admitting.kind_counts(),
             counters: self.counters.clone(),
         }
     }
--- /dev/null
+++ b/crates/kernel/src/requests/summary.rs
@@ -0,0 +1,132 @@
+//! What the metrics and the log tell of the work at a node's own target.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshore_model::KindId;
+use derive_more::Display;
+use serde::Serialize;
+
+use crate::NotRun;
+
+/// What became of the requests of one kind at a node's own target.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct KindCounts {
+    /// Requests that asked for a slot.
+    pub asked: u64,
+    /// Requests that certainly did not run, by reason.
+    pub refused: BTreeMap<NotRun, u64>,
+    /// Requests whose handing node withdrew them while they waited.
+    pub withdrawn: u64,
+    /// Runs that the target answered.
+    pub answered: u64,
+    /// Runs that the target answered as failed.
+    pub failed: u64,
+    /// Runs that the target refused for load.
+    pub shed: u64,
+    /// Runs whose answer was lost.
+    pub lost: u64,
+    /// Runs that were given up, for their time or their caller.
+    pub given_up: u64,
+    /// Time of slots that ended runs took.
+    pub busy: Duration,
+}
+
+impl KindCounts {
+    /// Returns the number of runs that ended.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::KindCounts;
+    ///
+    /// let counts = KindCounts { answered: 3, failed: 1, ..KindCounts::default() };
+    /// assert_eq!(counts.ended(), 4);
+    /// ```
+    #[must_use]
+    pub const fn ended(&self) -> u64 {
+        self.answered + self.failed + self.shed + self.lost + self.given_up
+    }
+
+    /// Returns the number of requests that certainly did not run.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::KindCounts;
+    /// use celeryshore_kernel::NotRun;
+    ///
+    /// let refused = [(NotRun::Overloaded, 2), (NotRun::ColdStart, 1)].into();
+    /// let counts = KindCounts { refused, ..KindCounts::default() };
+    /// assert_eq!(counts.all_refused(), 3);
+    /// ```
+    #[must_use]
+    pub fn all_refused(&self) -> u64 {
+        self.refused.values().sum()
+    }
+
+    /// Tells whether a request was refused or had no good end.
+    pub(super) fn has_trouble(&self) -> bool {
+        self.all_refused() + self.failed + self.shed + self.lost + self.given_up > 0
+    }
+
+    /// Returns what was counted after `before`.
+    pub(super) fn since(&self, before: Option<&Self>) -> Self {
+        let Some(before) = before else {
+            return self.clone();
+        };
+        let refused = self.refused.iter().map(|(reason, count)| {
+            let earlier = before.refused.get(reason).copied().unwrap_or_default();
+            (*reason, count - earlier)
+        });
+        Self {
+            asked: self.asked - before.asked,
+            refused: refused.filter(|(_, count)| *count > 0).collect(),
+            withdrawn: self.withdrawn - before.withdrawn,
+            answered: self.answered - before.answered,
+            failed: self.failed - before.failed,
+            shed: self.shed - before.shed,
+            lost: self.lost - before.lost,
+            given_up: self.given_up - before.given_up,
+            busy: self.busy.saturating_sub(before.busy),
+        }
+    }
+}
+
+/// What became of the requests of one kind in a span of time.
+#[derive(Clone, Debug, Display)]
+#[display("{kind} at the own target")]
+pub struct WorkSummary {
+    /// Request kind.
+    pub kind: KindId,
+    /// What was counted in the span.
+    pub counts: KindCounts,
+    /// Length of the span.
+    pub span: Duration,
+}
+
+impl WorkSummary {
+    /// Returns how many slots the runs that ended took, in the mean of the span.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celeryshore_kernel::KindCounts;
+    /// use celeryshore_kernel::WorkSummary;
+    /// use celeryshore_model::KindId;
+    ///
+    /// let summary = WorkSummary {
+    ///     kind: KindId { service: "desk".parse()?, kind: "look".parse()? },
+    ///     counts: KindCounts { busy: Duration::from_secs(3), ..KindCounts::default() },
+    ///     span: Duration::from_secs(2),
+    /// };
+    /// assert!((summary.slots_used() - 1.5).abs() < 0.01);
+    /// # Ok::<(), celeryshore_model::Error>(())
+    /// ```
+    #[must_use]
+    pub fn slots_used(&self) -> f64 {
+        self.counts.busy.as_secs_f64() / self.span.as_secs_f64().max(f64::EPSILON)
+    }
+}
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -23,6 +23,7 @@
 use celeryshore_kernel::RequestsStatus;
 use celeryshore_kernel::Terms;
 use celeryshore_kernel::WorkId;
+use celeryshore_kernel::WorkSummary;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
 use celeryshore_model::Incarnation;
@@ -78,6 +79,8 @@
     /// Messages to these VMs are kept back until they are released.
     pub held: BTreeSet<VmName>,
     pub kept: Vec<(VmName, RequestEvent)>,
+    /// What nodes told of the work at their targets.
+    pub summaries: Vec<WorkSummary>,
     /// Terms of the nodes that are started from now on.
     pub terms: Terms,
     latest: u64,
@@ -122,6 +125,7 @@
             catch_ups: 0,
             held: BTreeSet::new(),
             kept: Vec::new(),
+            summaries: Vec::new(),
             terms: Terms::default(),
             latest: 0,
         }
--- a/crates/kernel/tests/counters.rs
+++ b/crates/kernel/tests/counters.rs
@@ -14,6 +14,7 @@
 use crate::common::deployment::order;
 use crate::common::deployment::ordering;
 use crate::common::deployment::stock;
+use crate::common::response;
 
 #[test]
 fn three_ends() {
@@ -34,3 +35,27 @@
     assert_eq!((status.calls, status.queue, status.keys), (6, 4, 1));
     assert_eq!((status.load.limit, status.load.phase), (2, Phase::Cold));
 }
+
+/// What was asked of a target, what ran there and what failed is told by kind.
+#[test]
+fn kinds_apart() {
+    let mut mesh = Mesh::new(&Arc::new(ordering(&["glasgow"])));
+    for _ in 0..7 {
+        mesh.call("vm-1", stock());
+    }
+    mesh.advance(100);
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Answered(response(500, "")));
+    mesh.advance(900);
+    mesh.call("vm-1", order());
+    let stock = &mesh.status("vm-1").kinds["ordering/stock"];
+    assert_eq!((stock.asked, stock.failed), (7, 1));
+    assert_eq!(stock.refused[&NotRun::ColdStart], 1);
+    assert_eq!(mesh.status("vm-1").kinds["ordering/order"].asked, 1);
+    let told = mesh.summaries.iter().find(|s| s.counts.failed == 1);
+    assert!(
+        told.is_some_and(|s| s.slots_used() > 0.0),
+        "{:?}",
+        mesh.summaries
+    );
+}
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -282,6 +282,7 @@
                 pending.add_work(work, task);
             }
             RequestAction::Report(report) => self.report_request(&report),
+            RequestAction::Summarize(summary) => self.summarize_work(&summary),
             RequestAction::Abort { work } => pending.remove_work(work),
             RequestAction::Examine { path } => {
                 let _ = self.examinations.0.try_send(path);
--- a/crates/node/src/driver/report.rs
+++ b/crates/node/src/driver/report.rs
@@ -3,10 +3,32 @@
 use std::time::Instant;
 
 use celeryshore_kernel::RequestReport;
+use celeryshore_kernel::WorkSummary;
 
 use super::Driver;
 
 impl Driver {
+    /// Logs what the own target was asked and did lately, of one kind.
+    pub(super) fn summarize_work(&self, summary: &WorkSummary) {
+        let counts = &summary.counts;
+        let refused: Vec<_> = counts
+            .refused
+            .iter()
+            .map(|(reason, count)| format!("{reason} {count}"))
+            .collect();
+        slog::info!(self.log, "work: {}", summary;
+            "span_ms" => summary.span.as_millis(),
+            "slots_used" => format!("{:.1}", summary.slots_used()),
+            "given_up" => counts.given_up,
+            "lost" => counts.lost,
+            "shed" => counts.shed,
+            "failed" => counts.failed,
+            "answered" => counts.answered,
+            "withdrawn" => counts.withdrawn,
+            "refused" => refused.join(" "),
+            "asked" => counts.asked);
+    }
+
     /// Logs a decision, unless too many were logged in this second.
     pub(super) fn report_request(&self, report: &RequestReport) {
         if let Some(left_out) = self.log_quota.take(Instant::now()) {
--- a/crates/node/src/operators/metrics.rs
+++ b/crates/node/src/operators/metrics.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use celeryshore_kernel::Feed;
 use celeryshore_kernel::Kernel;
+use celeryshore_kernel::KindCounts;
 use celeryshore_kernel::TrafficKind;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -17,6 +18,7 @@
 const VERSION_INDEX: &str = "celeryshore_version_index";
 const READER: &str = "celeryshore_reader";
 const SOURCE_CALLS: &str = "celeryshore_source_calls_total";
+const TARGET_REQUESTS: &str = "celeryshore_target_requests_total";
 const VIEW_AGE: &str = "celeryshore_view_age_seconds";
 /// Upper ends of the buckets of call times, in seconds.
 const CALL_BUCKETS: [f64; 12] = [
@@ -69,6 +71,9 @@
 }
 
 fn set_kernel_gauges(kernel: &Kernel) {
+    for (kind, counts) in kernel.requests.status().kinds {
+        set_kind_counts(&kind, &counts);
+    }
     if let Some(feed) = &kernel.feed {
         set_feed_gauges(feed);
         return;
@@ -89,6 +94,28 @@
     }
 }
 
+fn set_kind_counts(kind: &str, counts: &KindCounts) {
+    let outcomes = [
+        ("answered", counts.answered),
+        ("failed", counts.failed),
+        ("shed", counts.shed),
+        ("lost", counts.lost),
+        ("given-up", counts.given_up),
+        ("withdrawn", counts.withdrawn),
+    ];
+    for (outcome, count) in outcomes {
+        metrics::counter!(TARGET_REQUESTS, "kind" => kind.to_owned(), "outcome" => outcome)
+            .absolute(count);
+    }
+    for (reason, count) in &counts.refused {
+        metrics::counter!(TARGET_REQUESTS, "kind" => kind.to_owned(),
+            "outcome" => "not-run", "reason" => reason.to_string())
+        .absolute(*count);
+    }
+    metrics::gauge!("celeryshore_target_busy_seconds", "kind" => kind.to_owned())
+        .set(counts.busy.as_secs_f64());
+}
+
 fn set_feed_gauges(feed: &Feed) {
     let status = feed.status();
     metrics::gauge!(VERSION_INDEX).set(to_f64(status.version.index.0));
--- a/crates/trials/src/scenario/act.rs
+++ b/crates/trials/src/scenario/act.rs
@@ -146,6 +146,7 @@
             RequestAction::CatchUp { .. }
             | RequestAction::Examine { .. }
             | RequestAction::Report(_)
+            | RequestAction::Summarize(_)
             | RequestAction::Drained => {}
             RequestAction::WakeAt(at) => {
                 if let Some(process) = self.process(life) {
