--- /dev/null
+++ b/crates/kernel/tests/starvation.rs
@@ -0,0 +1,158 @@
+//! Kinds of work that compete for the slots of one target for longer than a queue
+//! can bridge.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryshore_kernel::Answer;
+use celeryshore_kernel::CallId;
+use celeryshore_kernel::Health;
+use celeryshore_kernel::Outcome;
+use celeryshore_kernel::RequestEvent;
+use celeryshore_model::ColdStart;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::Priority;
+use celeryshore_model::Rate;
+use celeryshore_model::Route;
+use celeryshore_model::Semantics;
+use celeryshore_model::Slots;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
+
+use crate::common::Mesh;
+use crate::common::deployment::ordering;
+use crate::common::deployment::stock;
+use crate::common::deployment::tune;
+use crate::common::response;
+
+/// Kinds by rank, the most urgent first.
+const KINDS: [&str; 3] = ["file", "check", "review"];
+/// Slots of the target.
+const SLOTS: u32 = 12;
+/// Time that the target takes for any request, in milliseconds.
+const WORK: u64 = 100;
+/// Time between two rounds of arrivals, in milliseconds.
+const STEP: u64 = 10;
+/// Length of a test, in steps: much longer than a queue can bridge.
+const STEPS: u64 = 1_000;
+/// Part of the mean share of served requests that each kind has to reach, as the
+/// platform's gate states it.
+const LEAST_PART: f64 = 0.25;
+
+/// Makes a service with one target and three kinds of different rank.
+fn snapshot() -> Snapshot {
+    let mut snapshot = ordering(&["glasgow"]);
+    tune(&mut snapshot, |s| {
+        s.limits.slots = Slots::new(SLOTS);
+        s.limits.queue = Slots::new(100);
+        s.limits.cold_start = Some(ColdStart {
+            rate: Rate::from_per_mille(10_000),
+            span: Duration::from_secs(3),
+        });
+        let (_, model) = s.kinds.pop_first().expect("a kind");
+        s.kinds.clear();
+        for (rank, name) in (0..).zip(KINDS) {
+            let mut kind = model.clone();
+            kind.name = name.parse().expect("a kind");
+            kind.semantics = Semantics::AtMostOnce;
+            kind.priority = Priority::new(rank);
+            kind.target_latency = Some(Duration::from_millis(2 * WORK));
+            s.kinds.insert(kind.name.clone(), kind);
+        }
+    });
+    let model = snapshot.routes.remove(0);
+    snapshot.routes = KINDS.iter().map(|name| route(&model, name)).collect();
+    snapshot
+}
+
+fn route(model: &Route, name: &str) -> Route {
+    let mut route = model.clone();
+    route.name = name.parse().expect("a route");
+    route.kind = name.parse().expect("a kind");
+    route.matches.path = format!("/{name}");
+    route
+}
+
+fn request(kind: &str) -> HttpRequest {
+    HttpRequest {
+        method: "POST".into(),
+        path: format!("/{kind}").into(),
+        ..stock()
+    }
+}
+
+fn mesh() -> Mesh {
+    let mut mesh = Mesh::new(&Arc::new(snapshot()));
+    mesh.advance(1_500);
+    let health = Health::Good {
+        cold_for: Duration::ZERO,
+    };
+    mesh.send("vm-1", RequestEvent::Examined { health });
+    mesh
+}
+
+/// Ends the runs that have had their time.
+fn work_off(mesh: &mut Mesh, begun: &mut BTreeMap<String, Time>) {
+    let now = mesh.now.mono;
+    for run in mesh.runs.clone() {
+        let since = *begun.entry(run.work.to_string()).or_insert(now);
+        if now - since >= Duration::from_millis(WORK) {
+            mesh.finish(&run, Outcome::Answered(response(200, "")));
+        }
+    }
+    for run in &mesh.runs {
+        begun.entry(run.work.to_string()).or_insert(now);
+    }
+}
+
+/// Sends so many requests of each kind in a second; returns the shares of each kind
+/// and of all that were served.
+fn press(per_second: [u64; 3]) -> ([f64; 3], f64) {
+    let mut mesh = mesh();
+    let mut begun = BTreeMap::new();
+    let mut calls: [Vec<CallId>; 3] = Default::default();
+    for step in 1..=STEPS {
+        for ((kind, rate), calls) in KINDS.iter().zip(per_second).zip(&mut calls) {
+            let due = |step: u64| step * STEP * rate / 1_000;
+            for _ in due(step - 1)..due(step) {
+                calls.push(mesh.call("vm-1", request(kind)));
+            }
+        }
+        mesh.advance(STEP);
+        work_off(&mut mesh, &mut begun);
+    }
+    let served = |calls: &[CallId]| {
+        let whole = |call: &&CallId| matches!(mesh.answers.get(call), Some(Answer::Whole(_)));
+        calls.iter().filter(whole).count()
+    };
+    let share = |served: usize, asked: usize| {
+        f64::from(u32::try_from(served).unwrap()) / f64::from(u32::try_from(asked).unwrap())
+    };
+    let shares = calls.each_ref().map(|c| share(served(c), c.len()));
+    let all: Vec<_> = calls.concat();
+    (shares, share(served(&all), all.len()))
+}
+
+/// The most urgent kind alone takes all slots, for as long as the load lasts
+/// (hronec-mesh, scale-1, seed 76987813024).
+#[test]
+fn lowest_rank() {
+    let (shares, all) = press([120, 160, 60]);
+    for (kind, share) in KINDS.iter().zip(shares) {
+        assert!(
+            share >= all * LEAST_PART,
+            "{kind} served {share:.2}, all {all:.2}: {shares:?}"
+        );
+    }
+}
+
+/// What is more urgent is still served more often.
+#[test]
+fn urgent_more() {
+    let (shares, all) = press([120, 160, 60]);
+    assert!(shares.is_sorted_by(|a, b| a >= b), "{shares:?}");
+    assert!(shares[0] > all, "{shares:?}, all {all:.2}");
+}
