Split the admitting side by what is done, and bound the ranks by time left

Moves only, but for one bound: the time that callers state is cut at 64 target latencies, so that the number of ranks stays small whatever they state.

--- a/crates/kernel/src/requests/admitting/admission.rs
+++ b/crates/kernel/src/requests/admitting/admission.rs
@@ -6,7 +6,6 @@
 use celeryshore_model::Limits;
 use celeryshore_model::Slots;
 use celeryshore_model::Time;
-use celeryshore_model::VmName;
 
 use super::batches::Batches;
 use super::gate::Gate;
@@ -17,6 +16,9 @@
 use super::rank::Rank;
 use super::runs::Runs;
 use super::shares::Shares;
+use super::verdict::Demand;
+use super::verdict::Refusal;
+use super::verdict::Verdict;
 use crate::Health;
 use crate::LoadReport;
 use crate::NotRun;
@@ -35,44 +37,6 @@
 /// Part of the usual service time below which work is not begun, as a divisor.
 const HOPELESS_DIVISOR: u32 = 2;
 
-/// What is to become of a request that asks for a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Verdict {
-    /// A slot is free.
-    Run,
-    /// It may wait for a slot.
-    Wait {
-        /// For this time at most, if there is a bound.
-        at_most: Option<Duration>,
-    },
-    /// It would wait too long.
-    Refuse(Refusal),
-}
-
-/// Why a request does not run, and when to come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Refusal {
-    /// Why it does not run.
-    pub(super) reason: NotRun,
-    /// When to come back.
-    pub(super) retry_after: Duration,
-}
-
-/// What a request asks of the admission.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Demand<'a> {
-    /// Node that hands it over.
-    pub(super) from: &'a VmName,
-    /// Its kind.
-    pub(super) kind: &'a KindId,
-    /// Time left until its deadline.
-    pub(super) remaining: Duration,
-    /// Longest wait after which its caller would rather go elsewhere.
-    pub(super) max_wait: Option<Duration>,
-    /// Its rank.
-    pub(super) rank: Rank,
-}
-
 /// Slots and queue of one target.
 #[derive(Debug)]
 pub(super) struct Admission {
--- a/crates/kernel/src/requests/admitting/judgement.rs
+++ b/crates/kernel/src/requests/admitting/judgement.rs
@@ -7,12 +7,12 @@
 use celeryshore_model::VmName;
 
 use super::Admitting;
-use super::admission::Refusal;
 use super::arrival;
 use super::arrival::Arrival;
 use super::keyed;
 use super::task::JudgementId;
 use super::task::WaiterId;
+use super::verdict::Refusal;
 use crate::Fence;
 use crate::Inquiry;
 use crate::MemberState;
--- a/crates/kernel/src/requests/admitting/keyed.rs
+++ b/crates/kernel/src/requests/admitting/keyed.rs
@@ -3,10 +3,10 @@
 use celeryshore_model::HttpResponse;
 
 use super::Admitting;
-use super::admission::Refusal;
 use super::arrival::Arrival;
 use super::check;
 use super::task::WaiterId;
+use super::verdict::Refusal;
 use super::waiter::Waiter;
 use crate::NotRun;
 use crate::ReplyOutcome;
--- a/crates/kernel/src/requests/admitting/mod.rs
+++ b/crates/kernel/src/requests/admitting/mod.rs
@@ -5,12 +5,14 @@
 mod batches;
 mod check;
 mod crash;
+mod enter;
 mod expiry;
 mod gate;
 mod judgement;
 mod keyed;
 mod latency;
 mod limit;
+mod observe;
 mod outcome;
 mod overtaking;
 mod own_target;
@@ -24,34 +26,29 @@
 mod strangers;
 mod tally;
 mod task;
+mod verdict;
 mod waiter;
 mod work;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celeryshore_model::Dialect;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
 use celeryshore_model::VmName;
 
 use self::admission::Admission;
-use self::admission::Demand;
-use self::admission::Refusal;
-use self::admission::Verdict;
 use self::arrival::Arrival;
 use self::crash::Losses;
 use self::judgement::Judgement;
-use self::limit::Evidence;
 use self::own_target::OwnTarget;
-use self::rank::Rank;
 use self::strangers::Strangers;
-use self::tally::RunEnd;
 use self::tally::Tally;
 use self::task::JudgementId;
 use self::task::ParkedId;
 use self::task::Task;
 use self::task::WaiterId;
+use self::verdict::Refusal;
 use self::waiter::Waiter;
 use self::work::Work;
 use self::work::WorkState;
@@ -63,8 +60,6 @@
 use crate::requests::ExchangeId;
 use crate::requests::Journal;
 use crate::requests::JournalConfig;
-use crate::requests::KeyOutcome;
-use crate::requests::KeyedCopy;
 use crate::requests::Outcome;
 use crate::requests::RequestAction;
 use crate::requests::WorkId;
@@ -208,61 +203,6 @@
         self.fill(cx);
     }
 
-    /// Runs a request, lets it wait for a slot, or refuses it.
-    fn admit(&mut self, cx: &mut Context<'_>, arrival: Arrival, copy: Option<KeyedCopy>) {
-        let kind = cx.view.kind(&arrival.handover.kind);
-        let rank = Rank::of(cx, kind, &arrival.handover.request);
-        let demand = Demand {
-            from: &arrival.handover.from,
-            kind: &arrival.handover.kind,
-            remaining: arrival.deadline - cx.now.mono,
-            max_wait: arrival.handover.max_wait,
-            rank,
-        };
-        let verdict = self.admission.judge(cx.now.mono, demand);
-        self.tally.asked(&arrival.handover.kind);
-        match verdict {
-            Verdict::Run => {
-                let id = self.add(arrival, copy, rank);
-                self.run(cx, id);
-            }
-            Verdict::Wait { at_most } => {
-                let kind = arrival.handover.kind.clone();
-                let id = self.add(arrival, copy, rank);
-                if let Some(at_most) = at_most {
-                    self.limit_wait(cx, id, at_most);
-                }
-                if self.admission.enqueue(cx.now.mono, rank, kind, id) {
-                    self.refuse_late(cx);
-                }
-            }
-            Verdict::Refuse(refusal) => {
-                self.tally.refused(&arrival.handover.kind, refusal.reason);
-                self.reply(cx, arrival.origin, refusal.into());
-                if let Some(copy) = copy {
-                    self.end_key(cx, &copy, KeyOutcome::NotRun);
-                }
-            }
-        }
-    }
-
-    fn add(&mut self, arrival: Arrival, copy: Option<KeyedCopy>, rank: Rank) -> WorkId {
-        let id = WorkId(self.next_number());
-        self.origins.insert(arrival.origin, id.into());
-        self.deadlines.set(id.into(), arrival.deadline);
-        let work = Work {
-            origin: Some(arrival.origin),
-            copy,
-            handover: arrival.handover,
-            deadline: arrival.deadline,
-            rank,
-            start_by: None,
-            state: WorkState::Queued,
-        };
-        self.works.insert(id, work);
-        id
-    }
-
     const fn next_number(&mut self) -> u64 {
         self.latest += 1;
         self.latest
@@ -315,37 +255,6 @@
         });
     }
 
-    fn observe(&mut self, cx: &mut Context<'_>, work: &Work, outcome: &Outcome) {
-        let WorkState::Running { since } = work.state else {
-            return;
-        };
-        let now = cx.now.mono;
-        let dialect = &cx.view.cfg().terms.dialect;
-        let end = run_end(dialect, outcome);
-        self.tally.ended(&work.handover.kind, end, now - since);
-        let evidence = match outcome {
-            Outcome::Answered(response) if headers::is_misdirected(dialect, response) => {
-                Evidence::Reset
-            }
-            Outcome::Answered(response) if headers::is_shed(response) => Evidence::Overloaded,
-            Outcome::Answered(response) if headers::is_failure(response) => Evidence::Failed,
-            Outcome::Answered(_) => Evidence::Answered {
-                kind: &work.handover.kind,
-                elapsed: now - since,
-                running: self.admission.running(),
-            },
-            Outcome::NeverSent => Evidence::Refused,
-            Outcome::Broken => Evidence::Reset,
-            Outcome::Silent => Evidence::Overloaded,
-        };
-        if self
-            .admission
-            .finish(now, since, &work.handover.kind, evidence)
-        {
-            self.refuse_late(cx);
-        }
-    }
-
     /// Tells the log what happened at the target lately.
     pub(super) fn summarize(&mut self, cx: &mut Context<'_>) {
         let summaries = self.tally.summary(cx.now.mono).into_iter();
@@ -364,16 +273,6 @@
     }
 }
 
-/// Returns how a run ended.
-fn run_end(dialect: &Dialect, outcome: &Outcome) -> RunEnd {
-    match outcome {
-        Outcome::Answered(response) if headers::is_not_run(dialect, response) => RunEnd::Shed,
-        Outcome::Answered(response) if headers::is_failure(response) => RunEnd::Failed,
-        Outcome::Answered(_) => RunEnd::Answered,
-        Outcome::NeverSent | Outcome::Broken | Outcome::Silent => RunEnd::Lost,
-    }
-}
-
 /// Returns the time left for the work, without the way of the reply.
 fn remaining(cx: &Context<'_>, handover: &Handover) -> Duration {
     let remaining = handover.remaining.saturating_sub(cx.lost_time);
--- a/crates/kernel/src/requests/admitting/outcome.rs
+++ b/crates/kernel/src/requests/admitting/outcome.rs
@@ -5,7 +5,7 @@
 use celeryshore_model::Dialect;
 use celeryshore_model::HttpResponse;
 
-use super::admission::Refusal;
+use super::verdict::Refusal;
 use crate::NotRun;
 use crate::ReplyOutcome;
 use crate::Unknown;
--- a/crates/kernel/src/requests/admitting/overtaking.rs
+++ b/crates/kernel/src/requests/admitting/overtaking.rs
@@ -15,6 +15,9 @@
 /// Most times that the wait grows; beyond that the wait is hopeless anyway.
 const MAX_GROWTH: u64 = 16;
 
+/// Scale of the growth of a wait.
+const PER_MILLE: u32 = 1_000;
+
 /// Time of the target that each rank took lately, in microseconds.
 #[derive(Debug, Default)]
 pub(super) struct Overtaking {
@@ -41,5 +44,3 @@
         wait.saturating_mul(growth.unwrap_or(u32::MAX).max(PER_MILLE)) / PER_MILLE
     }
 }
-
-const PER_MILLE: u32 = 1_000;
--- a/crates/kernel/src/requests/admitting/parking.rs
+++ b/crates/kernel/src/requests/admitting/parking.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use super::Admitting;
-use super::admission::Refusal;
 use super::arrival;
 use super::arrival::Arrival;
 use super::task::ParkedId;
+use super::verdict::Refusal;
 use crate::NotRun;
 use crate::requests::RequestAction;
 use crate::requests::context::Context;
--- a/crates/kernel/src/requests/admitting/rank.rs
+++ b/crates/kernel/src/requests/admitting/rank.rs
@@ -15,6 +15,10 @@
 use crate::requests::context::Context;
 use crate::requests::headers;
 
+/// Most target latencies by which requests are told apart. Callers state their time
+/// themselves; this bounds the number of ranks.
+const MAX_TIME_LEFT: u32 = 64;
+
 /// Rank of a request; the least runs first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
@@ -24,11 +28,6 @@
 }
 
 impl Rank {
-    /// Returns the priority.
-    pub(super) const fn priority(self) -> Priority {
-        self.priority
-    }
-
     /// Returns the rank of a request of a kind.
     pub(super) fn of(cx: &Context<'_>, kind: Option<&Kind>, request: &HttpRequest) -> Self {
         let dialect = &cx.view.cfg().terms.dialect;
@@ -40,9 +39,15 @@
             time_left: Reverse(steps),
         }
     }
+
+    /// Returns the priority.
+    pub(super) const fn priority(self) -> Priority {
+        self.priority
+    }
 }
 
 fn steps(left: Duration, unit: Duration) -> u32 {
     let steps = left.as_millis().checked_div(unit.as_millis());
-    u32::try_from(steps.unwrap_or_default()).unwrap_or(u32::MAX)
+    let steps = u32::try_from(steps.unwrap_or_default());
+    steps.unwrap_or(MAX_TIME_LEFT).min(MAX_TIME_LEFT)
 }
