--- a/crates/node/tests/log_lines.rs
+++ b/crates/node/tests/log_lines.rs
@@ -67,7 +67,10 @@
     terminate(&process);
     assert!(process.wait().unwrap().success());
     let lines = stdout.lines().map_while(Result::ok);
-    let lines: Vec<_> = lines.filter(|l| l.contains("requests: ")).collect();
+    let lines: Vec<_> = lines.collect();
+    let work = lines.iter().filter(|l| l.contains("work: ")).count();
+    assert!((1..=seconds).contains(&work), "{work} lines of one kind");
+    let lines: Vec<_> = lines.iter().filter(|l| l.contains("requests: ")).collect();
     assert!(lines.len() <= seconds * LINES_PER_SECOND, "{}", lines.len());
     let last = lines.last().expect("a line");
     assert!(!last.contains("left_out: 0"), "{last}");
--- a/crates/node/tests/ports.rs
+++ b/crates/node/tests/ports.rs
@@ -80,6 +80,8 @@
     for name in [
         "celeryshore_calls_total{outcome=\"answered\"}",
         "celeryshore_call_seconds_bucket",
+        "celeryshore_target_requests_total{kind=\"ordering/stock\",outcome=\"answered\"} 1",
+        "celeryshore_target_busy_seconds",
         "celeryshore_version_index",
         "celeryshore_control_sent_bytes_total{kind=\"heartbeat\"}",
         "process_resident_memory_bytes",
