--- a/crates/kernel/src/requests/admitting/overtaking.rs
+++ b/crates/kernel/src/requests/admitting/overtaking.rs
@@ -1,8 +1,8 @@
 //! How much longer work waits because more urgent work arrives meanwhile.
 //!
 //! Load pattern: urgent work that takes most of the slots. What waits behind it is
-//! overtaken again and again, so its place in the queue says little of its wait; it
-//! was refused late instead of at once.
+//! overtaken again and again. Its place in the queue alone would let it in, and it
+//! would be refused late instead of at once.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/kernel/src/requests/admitting/rank.rs
+++ b/crates/kernel/src/requests/admitting/rank.rs
@@ -1,9 +1,9 @@
 //! Order of work that waits, before each kind's least share.
 //!
 //! Load pattern: an overload that lasts, in which refused callers come back. Those
-//! who return are late already and took their turn among those who can still be
-//! answered in time; nearly every answer came late then. Among equals whoever has
-//! most time left goes first.
+//! who return are late already. In order of arrival they would take the place of those
+//! who can still be answered in time, and nearly every answer would be late. Among
+//! equals whoever has most time left goes first.
 
 use std::cmp::Reverse;
 use std::time::Duration;
