--- a/crates/kernel/tests/overload.rs
+++ b/crates/kernel/tests/overload.rs
@@ -245,11 +245,9 @@
     assert!(in_time * 2 > served, "{in_time} in time of {served}");
 }
 
-/// Requests that make two calls at once fail if one of them is refused. Judged each
-/// for itself, half of the calls served make whole pairs; calls that come together
-/// are served together, so three quarters at least do.
-#[test]
-fn paired_calls() {
+/// Sends calls in pairs that come together; returns how many calls were served, and
+/// how many whole pairs.
+fn press_pairs() -> (usize, usize) {
     let mut mesh = mesh();
     let mut target = Target::new();
     let mut pairs = Vec::new();
@@ -275,5 +273,23 @@
         .iter()
         .filter(|pair| pair.iter().all(is_served))
         .count();
+    (served, whole)
+}
+
+/// Requests that make two calls at once fail if one of them is refused. Calls that come
+/// together are served together.
+#[test]
+fn paired_calls() {
+    let (served, whole) = press_pairs();
+    assert!(
+        whole * 2 * 10 >= served * 9,
+        "{served} calls, {whole} pairs"
+    );
+}
+
+/// Judged each for itself, half of the calls served make whole pairs.
+#[test]
+fn paired_more() {
+    let (served, whole) = press_pairs();
     assert!(whole * 2 * 4 >= served * 3, "{served} calls, {whole} pairs");
 }
