Count the response fields of targets that no part of a node reads

Operators could not tell whether a target's statement was unread, or read and without effect: a response field that this version doesn't know left no trace in log, metrics or dump.

--- a/crates/model/src/dialect.rs
+++ b/crates/model/src/dialect.rs
@@ -45,6 +45,34 @@
     pub allows_fractional_retry_after: bool,
 }
 
+impl Dialect {
+    /// Returns the names of the fields that a node reads in responses of targets, or
+    /// that it writes itself.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_model::Dialect;
+    ///
+    /// let dialect = Dialect::default();
+    /// assert!(dialect.response_fields().any(|name| name == "x-not-run"));
+    /// ```
+    pub fn response_fields(&self) -> impl Iterator<Item = &Bytes> {
+        let optional = [
+            &self.outcome,
+            &self.reason,
+            &self.request_id,
+            &self.signature,
+            &self.target_name,
+            &self.cold_remaining,
+        ];
+        optional
+            .into_iter()
+            .flatten()
+            .chain(std::iter::once(&self.not_run))
+    }
+}
+
 impl Default for Dialect {
     fn default() -> Self {
         let name = Bytes::from_static;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -105,11 +105,12 @@
         let store = adapter_store(&settings);
         let cfg = kernel_config(&settings, store.as_deref());
         let dialect = cfg.requests.terms.dialect.clone();
+        let target = Target::new(settings.target, timers.clone(), dialect, log.clone());
         let driver = Arc::new(Driver::new(DriverParts {
             ex,
             log,
             cfg,
-            target: Target::new(settings.target, timers.clone(), dialect),
+            target,
             timers: timers.clone(),
             store: store.clone(),
         }));
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -5,6 +5,7 @@
 
 mod health;
 mod pool;
+mod unread_fields;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,11 +19,13 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 use serde_json::Value;
+use slog::Logger;
 
 pub(crate) use self::health::poll_phase;
 pub(crate) use self::health::run_health_checks;
 use self::pool::Lease;
 use self::pool::TargetPool;
+use self::unread_fields::UnreadFields;
 use crate::Result;
 use crate::error::Protocol;
 use crate::http;
@@ -46,14 +49,23 @@
     pool: TargetPool,
     timers: Arc<Timers>,
     dialect: Dialect,
+    unread_fields: UnreadFields,
+    log: Logger,
 }
 
 impl Target {
-    pub(crate) fn new(addr: SocketAddr, timers: Arc<Timers>, dialect: Dialect) -> Self {
+    pub(crate) fn new(
+        addr: SocketAddr,
+        timers: Arc<Timers>,
+        dialect: Dialect,
+        log: Logger,
+    ) -> Self {
         Self {
             pool: TargetPool::new(addr),
             timers,
             dialect,
+            unread_fields: UnreadFields::default(),
+            log,
         }
     }
 
@@ -78,7 +90,10 @@
             .timeout_at(deadline, self.exchange(lease, conn, &bytes, &request))
             .await;
         match response {
-            Some(Ok(response)) => Outcome::Answered(response),
+            Some(Ok(response)) => {
+                self.log_unread_fields(&response);
+                Outcome::Answered(response)
+            }
             Some(Err(_)) => Outcome::Broken,
             None => {
                 self.pool.clear();
@@ -141,9 +156,20 @@
         Ok(())
     }
 
-    /// Returns the state of the connections for the state dump.
+    /// Counts the response fields that the node doesn't read, and logs each name once.
+    fn log_unread_fields(&self, response: &HttpResponse) {
+        for name in self.unread_fields.record(&self.dialect, response) {
+            let name = String::from_utf8_lossy(&name);
+            slog::info!(self.log, "target: response has an unread field"; "field" => %name);
+        }
+    }
+
+    /// Returns the state of the connections, and the counts of unread response fields,
+    /// for the state dump.
     pub(crate) fn dump(&self) -> Value {
-        self.pool.dump()
+        let mut state = self.pool.dump();
+        state["unread_fields"] = self.unread_fields.dump();
+        state
     }
 }
 
--- a/crates/node/tests/published.rs
+++ b/crates/node/tests/published.rs
@@ -97,7 +97,9 @@
 /// health checks.
 ///
 /// `answer` responds to a request and returns whether to keep the connection open.
-fn start(answer: fn(&mut TcpStream, &str) -> bool) -> (celeryshore_node::Node, Vm, Heads) {
+fn start(
+    answer: impl Fn(&mut TcpStream, &str) -> bool + Clone + Send + 'static,
+) -> (celeryshore_node::Node, Vm, Heads) {
     let vm = Vm::next();
     start_store(vm);
     let heads = Heads::default();
@@ -290,3 +292,25 @@
     assert_eq!(caller.receive().expect("a response").body, "r1");
     drained.join().unwrap();
 }
+
+#[test]
+fn unread_field() {
+    let (_node, vm, _) = start(|stream, head| {
+        let id = header(head, "celeryshore-request-id");
+        let fields = format!(
+            "celeryshore-request-id: {id}\r\nceleryshore-response-signature: s\r\n\
+             content-type: text/plain\r\nserver-mood: tired\r\n"
+        );
+        reply(stream, &fields, &id).is_ok()
+    });
+    let mut caller = Caller::connect(vm.callers());
+    for id in ["u1", "u2"] {
+        caller.send(request("GET", "/look/1", id));
+        assert_eq!(caller.receive().expect("a response").status(), 200);
+    }
+    let dump = call(vm.operators(), "GET", "/dump/connections", "").body;
+    assert!(dump.contains("\"server-mood\": 2"), "{dump}");
+    let metrics = call(vm.operators(), "GET", "/metrics", "").body;
+    let counter = "celeryshore_target_unread_fields_total{field=\"server-mood\"} 2";
+    assert!(metrics.contains(counter), "{metrics}");
+}
