Show a target that gets its full load although it stated a limit

published::stated_limit fails on this commit and is known red: a target that states 5 requests a second gets 120 in 4 s from a single node, 35 are allowed. The dump of that node counts server-limit among the unread fields.

--- a/crates/node/tests/published.rs
+++ b/crates/node/tests/published.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use celeryshore_platform as _;
 
@@ -314,3 +315,53 @@
     let counter = "celeryshore_target_unread_fields_total{field=\"server-mood\"} 2";
     assert!(metrics.contains(counter), "{metrics}");
 }
+
+/// Sends `per_second` requests a second for `seconds`, each on a connection of its own,
+/// and doesn't wait for the responses.
+fn send_steadily(vm: Vm, per_second: u32, seconds: u32) {
+    for n in 0..per_second * seconds {
+        thread::spawn(move || {
+            let mut caller = Caller::connect(vm.callers());
+            caller.send(request("GET", "/look/1", &format!("n{n}")));
+            let _ = caller.receive();
+        });
+        thread::sleep(Duration::from_secs(1) / per_second);
+    }
+}
+
+/// Returns the most requests that arrived within any `span`, of those after `from`.
+fn busiest_span(arrivals: &[Instant], from: Instant, span: Duration) -> usize {
+    let counted = |start: &Instant| {
+        let within = |at: &&Instant| **at >= *start && **at - *start < span;
+        arrivals.iter().filter(within).count()
+    };
+    let starts = arrivals.iter().filter(|at| **at >= from);
+    starts.map(counted).max().unwrap_or(0)
+}
+
+/// A target that states a rate limit got the full load.
+#[test]
+fn stated_limit() {
+    const LIMIT: usize = 5;
+    // The platform's terms: time to comply, window, and excess in that window.
+    const SETTLING: Duration = Duration::from_secs(3);
+    const WINDOW: Duration = Duration::from_secs(4);
+    const ALLOWED: usize = LIMIT * 4 * 3 / 2 + 5;
+    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let seen = arrivals.clone();
+    let (_node, vm, _) = start(move |stream, head| {
+        seen.lock().unwrap().push(Instant::now());
+        let id = header(head, "celeryshore-request-id");
+        let fields = format!(
+            "celeryshore-request-id: {id}\r\nceleryshore-response-signature: s\r\n\
+             server-limit: {LIMIT}.0\r\n"
+        );
+        reply(stream, &fields, &id).is_ok()
+    });
+    send_steadily(vm, 30, 8);
+    let arrivals = arrivals.lock().unwrap();
+    let first = *arrivals.first().expect("a request that arrived");
+    let most = busiest_span(&arrivals, first + SETTLING, WINDOW);
+    assert!(most > 0, "no request arrived while the limit held");
+    assert!(most <= ALLOWED, "{most} requests in 4 s, allowed {ALLOWED}");
+}
