Send nothing new to a target whose responses say that it leaves

Callers' requests went on reaching targets that had said in every response that they leave, until the platform's store said so too; while the store is away, until they end. Change: each node that gets such a response no longer chooses this incarnation of the target, whatever the store says of it, and the node next to the target refuses what waits and what comes. Both tell each other, so that a restarted process learns it. A health check's response counts as well.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -130,5 +130,6 @@
 pub use crate::requests::Terms;
 pub use crate::requests::WorkId;
 pub use crate::requests::WorkSummary;
+pub use crate::statement::ResponseStatement;
 pub use crate::statement::StatedRate;
 pub use crate::statement::TargetStatement;
--- a/crates/kernel/src/requests/admission/keyed.rs
+++ b/crates/kernel/src/requests/admission/keyed.rs
@@ -4,7 +4,6 @@
 
 use super::Admission;
 use super::arrival::Arrival;
-use super::check;
 use super::decision::Refusal;
 use super::task::WaiterId;
 use super::waiter::Waiter;
@@ -24,7 +23,7 @@
         arrival: Arrival,
         copy: &KeyedCopy,
     ) {
-        let unavailable = check::check(cx, &arrival.handover).err();
+        let unavailable = self.check(cx, &arrival.handover).err();
         if let Some(reason) = unavailable.filter(|reason| !serves_stored_responses(*reason)) {
             self.journal.record_refusal(cx.now, copy);
             self.reply(cx, arrival.origin, Refusal::new(reason).into());
--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -119,6 +119,8 @@
     heard_at: Option<Time>,
     /// Whether the local target has responded to this process.
     has_response: bool,
+    /// Whether the local target states that it is about to leave.
+    is_target_leaving: bool,
     /// Number of responses whose rate limit could not be read.
     unreadable_limits: u64,
     /// Whether the latest one could not be read.
@@ -145,6 +147,7 @@
             kind_stats: KindStats::new(now.mono),
             heard_at: None,
             has_response: false,
+            is_target_leaving: false,
             unreadable_limits: 0,
             is_limit_unreadable: false,
         }
@@ -212,7 +215,7 @@
             self.handle_keyed_copy(cx, arrival, &copy);
             return;
         }
-        match check::check(cx, &arrival.handover) {
+        match self.check(cx, &arrival.handover) {
             Ok(()) => self.admit(cx, arrival, None),
             Err(reason) => {
                 self.kind_stats.record_request(&arrival.handover.kind);
@@ -223,6 +226,13 @@
         }
     }
 
+    /// Checks a forwarded request against the configuration and the state of this node
+    /// and its target.
+    fn check(&self, cx: &mut Context<'_>, handover: &Handover) -> check::Result<()> {
+        check::check(cx, handover)?;
+        self.check_staying()
+    }
+
     /// Handles the end of a run at the target.
     pub(super) fn handle_outcome(&mut self, cx: &mut Context<'_>, id: WorkId, outcome: Outcome) {
         let Some(work) = self.work_items.remove(&id) else {
@@ -266,6 +276,7 @@
             return Err(NotRun::NotHere);
         }
         check::check_serving(own)?;
+        self.check_staying()?;
         if !self
             .scheduler
             .can_finish(cx.now.mono, work.deadline - cx.now.mono)
--- a/crates/kernel/src/requests/admission/statement.rs
+++ b/crates/kernel/src/requests/admission/statement.rs
@@ -5,7 +5,10 @@
 use celeryshore_model::UpstreamName;
 
 use super::Admission;
+use super::check;
 use super::rate_limit::RateChange;
+use crate::NotRun;
+use crate::ResponseStatement;
 use crate::StatedRate;
 use crate::TargetReport;
 use crate::TargetStatement;
@@ -26,18 +29,24 @@
         let dialect = &cx.view.cfg().terms.dialect;
         let is_own = cx.view.own().is_some_and(|own| own.name == *upstream);
         if is_own && !headers::is_misdirected(dialect, response) {
-            let rate = StatedRate::read(dialect, response);
-            self.observe_statement(cx, rate);
+            let statement = ResponseStatement::read(dialect, response);
+            self.observe_leaving(cx, statement.is_leaving);
+            self.observe_rate_limit(cx, statement.rate);
         }
     }
 
     /// Handles a statement in the response to a health check.
     ///
-    /// A health endpoint may leave a statement out that other responses have, so its
-    /// absence means nothing.
-    pub(in crate::requests) fn handle_statement(&mut self, cx: &mut Context<'_>, rate: StatedRate) {
-        if rate != StatedRate::Absent {
-            self.observe_statement(cx, rate);
+    /// A health endpoint may leave a limit out that other responses have, so its absence
+    /// means nothing.
+    pub(in crate::requests) fn handle_statement(
+        &mut self,
+        cx: &mut Context<'_>,
+        statement: ResponseStatement,
+    ) {
+        self.observe_leaving(cx, statement.is_leaving);
+        if statement.rate != StatedRate::Absent {
+            self.observe_rate_limit(cx, statement.rate);
         }
     }
 
@@ -51,9 +60,13 @@
     ) {
         let is_own =
             |s: &TargetStatement| cx.view.own().is_some_and(|own| own.incarnation == s.target);
-        let Some(statement) = statement.filter(is_own).filter(|_| !self.has_response) else {
+        let Some(statement) = statement.filter(is_own) else {
             return;
         };
+        self.observe_leaving(cx, statement.is_leaving);
+        if self.has_response {
+            return;
+        }
         let now = cx.now.mono;
         let stated_at = Time::ZERO + (now - Time::ZERO).saturating_sub(statement.age);
         if let Some(rate) = statement.rate_limit
@@ -71,6 +84,7 @@
         let heard_at = self.heard_at?;
         Some(TargetStatement {
             rate_limit: self.scheduler.rate_limit(),
+            is_leaving: self.is_target_leaving,
             target: own.incarnation,
             age: now - heard_at,
         })
@@ -80,10 +94,33 @@
     pub(super) fn forget_statement(&mut self) {
         self.heard_at = None;
         self.has_response = false;
+        self.is_target_leaving = false;
         self.scheduler.clear_rate_limit();
     }
 
-    fn observe_statement(&mut self, cx: &mut Context<'_>, rate: StatedRate) {
+    /// Checks that the local target has not stated that it is about to leave.
+    pub(super) fn check_staying(&self) -> check::Result<()> {
+        if self.is_target_leaving {
+            return Err(NotRun::Leaving);
+        }
+        Ok(())
+    }
+
+    /// Refuses what waits for a target that states for the first time that it leaves.
+    fn observe_leaving(&mut self, cx: &mut Context<'_>, is_leaving: bool) {
+        if !is_leaving || self.is_target_leaving {
+            return;
+        }
+        self.heard_at.get_or_insert(cx.now.mono);
+        self.is_target_leaving = true;
+        report(cx, TargetReport::Leaving);
+        let queued: Vec<_> = self.scheduler.queue().collect();
+        for id in queued {
+            self.refuse_queued(cx, id, NotRun::Leaving);
+        }
+    }
+
+    fn observe_rate_limit(&mut self, cx: &mut Context<'_>, rate: StatedRate) {
         let now = cx.now.mono;
         if rate != StatedRate::Unreadable {
             self.heard_at = Some(now);
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -71,7 +71,9 @@
             RequestEvent::ColdStartReported { cold_for } => {
                 self.admission.handle_cold_start_report(cx, cold_for);
             }
-            RequestEvent::Stated { rate } => self.admission.handle_statement(cx, rate),
+            RequestEvent::Stated(statement) => {
+                self.admission.handle_statement(cx, statement);
+            }
             RequestEvent::HealthChecked { health } => {
                 self.admission.handle_health_check(cx, health);
             }
--- a/crates/kernel/src/requests/event.rs
+++ b/crates/kernel/src/requests/event.rs
@@ -19,7 +19,7 @@
 use crate::PeerRequest;
 use crate::Phase;
 use crate::RequestReport;
-use crate::StatedRate;
+use crate::ResponseStatement;
 use crate::TargetReport;
 use crate::Unknown;
 use crate::WorkSummary;
@@ -106,10 +106,7 @@
         health: Health,
     },
     /// A response of the target to a health check stated something about the target.
-    Stated {
-        /// Rate limit in the response.
-        rate: StatedRate,
-    },
+    Stated(ResponseStatement),
     /// A configuration took effect.
     Configured(Arc<Snapshot>),
     /// A member of the fleet changed its state.
--- a/crates/kernel/src/requests/forwarding/balancer.rs
+++ b/crates/kernel/src/requests/forwarding/balancer.rs
@@ -120,6 +120,12 @@
         self.loads.iter()
     }
 
+    /// Returns `true` if the target of an upstream has stated that it is about to leave.
+    fn is_leaving(&self, upstream: &Upstream) -> bool {
+        let load = self.loads.get(&upstream.name);
+        load.is_some_and(|load| load.is_leaving(upstream.incarnation))
+    }
+
     /// Returns what an upstream's target stated about itself, if that restricts what it
     /// may be sent.
     pub(super) fn statement(&self, now: Time, upstream: &Upstream) -> Option<TargetStatement> {
@@ -179,6 +185,7 @@
             .filter_map(|name| snapshot.upstreams.get(name))
             .filter(|u| u.state == UpstreamState::Serving)
             .filter(|u| !snapshot.is_out_of_service(u) && cx.view.is_usable(&u.vm))
+            .filter(|u| !self.is_leaving(u))
             .map(|u| {
                 let cold = service.limits.cold_slots;
                 let defaults = LoadDefaults {
--- a/crates/kernel/src/requests/forwarding/upstream_load.rs
+++ b/crates/kernel/src/requests/forwarding/upstream_load.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use celeryshore_model::Incarnation;
 use celeryshore_model::Time;
 use serde::Serialize;
 
@@ -74,6 +75,11 @@
             known.target != statement.target || at <= stated_at
         };
         if self.statement.is_none_or(is_later) {
+            let is_leaving = statement.is_leaving || self.is_leaving(statement.target);
+            let statement = TargetStatement {
+                is_leaving,
+                ..statement
+            };
             self.statement = Some((statement, stated_at));
         }
     }
@@ -86,6 +92,12 @@
         })
     }
 
+    /// Returns `true` if this incarnation of the target has stated that it leaves.
+    pub(super) fn is_leaving(&self, target: Incarnation) -> bool {
+        self.statement
+            .is_some_and(|(known, _)| known.target == target && known.is_leaving)
+    }
+
     /// Returns `true` if the target limits the rate of its requests.
     fn is_rate_limited(&self) -> bool {
         self.statement
--- a/crates/kernel/src/requests/report.rs
+++ b/crates/kernel/src/requests/report.rs
@@ -42,6 +42,9 @@
     /// The limit can't be read; the one before it stays.
     #[display("states a limit that is not a finite number of at least zero")]
     UnreadableLimit,
+    /// The target is about to leave.
+    #[display("states that it is leaving")]
+    Leaving,
     /// Another node knows a limit that the target stated before this process started.
     #[display("stated a limit of {_0}, by a peer's request")]
     LimitFromPeer(Rate),
--- a/crates/kernel/src/statement.rs
+++ b/crates/kernel/src/statement.rs
@@ -20,6 +20,8 @@
     /// Requests per second that the target takes from all nodes together; absent if it
     /// states no limit.
     pub rate_limit: Option<Rate>,
+    /// Whether it is about to leave. This doesn't change before its incarnation ends.
+    pub is_leaving: bool,
     /// Incarnation of the target.
     pub target: Incarnation,
     /// Time since the response that the statement was read from.
@@ -42,21 +44,60 @@
     /// ```
     #[must_use]
     pub const fn is_restrictive(&self) -> bool {
-        self.rate_limit.is_some()
+        self.rate_limit.is_some() || self.is_leaving
     }
 }
 
 impl Serialize for TargetStatement {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut state = serializer.serialize_struct("TargetStatement", 3)?;
+        let mut state = serializer.serialize_struct("TargetStatement", 4)?;
         let rate_limit = self.rate_limit.map(|rate| rate.to_string());
         state.serialize_field("rate_limit", &rate_limit)?;
+        state.serialize_field("is_leaving", &self.is_leaving)?;
         state.serialize_field("target", &self.target)?;
         state.serialize_field("age_ms", &self.age.as_millis())?;
         state.end()
     }
 }
 
+/// What one response of a target states about the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseStatement {
+    /// Its rate limit.
+    pub rate: StatedRate,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+}
+
+impl ResponseStatement {
+    /// Reads the statement from the header fields of a response.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_kernel::ResponseStatement;
+    /// use celeryshore_model::Dialect;
+    /// use celeryshore_model::Header;
+    /// use celeryshore_model::HttpResponse;
+    ///
+    /// let response = HttpResponse {
+    ///     headers: vec![Header::new("x-leaving", "1")],
+    ///     ..HttpResponse::default()
+    /// };
+    /// let statement = ResponseStatement::read(&Dialect::default(), &response);
+    /// assert!(statement.is_leaving);
+    /// ```
+    #[must_use]
+    pub fn read(dialect: &Dialect, response: &HttpResponse) -> Self {
+        let leaving = dialect.leaving.as_ref();
+        let leaving = leaving.and_then(|name| response.header(name));
+        Self {
+            rate: StatedRate::read(dialect, response),
+            is_leaving: leaving.is_some_and(|value| value == "1"),
+        }
+    }
+}
+
 /// Rate limit in one response of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StatedRate {
--- a/crates/kernel/tests/stated_limits.rs
+++ b/crates/kernel/tests/stated_limits.rs
@@ -12,6 +12,7 @@
 use celeryshore_kernel::NotRun;
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
+use celeryshore_kernel::ResponseStatement;
 use celeryshore_kernel::StatedRate;
 use celeryshore_model::ColdStart;
 use celeryshore_model::Dialect;
@@ -487,11 +488,16 @@
 #[test]
 fn health_check() {
     let mut world = World::new(1);
+    let stated = |rate| {
+        RequestEvent::Stated(ResponseStatement {
+            rate,
+            is_leaving: false,
+        })
+    };
     let rate = StatedRate::Limit(Rate::from_per_mille(1_000));
-    world.mesh.send(LIMITED, RequestEvent::Stated { rate });
-    let rate = StatedRate::Absent;
+    world.mesh.send(LIMITED, stated(rate));
     world.mesh.advance(5_000);
-    world.mesh.send(LIMITED, RequestEvent::Stated { rate });
+    world.mesh.send(LIMITED, stated(StatedRate::Absent));
     let statement = world.mesh.status(LIMITED).statement;
     let limit = statement.expect("a statement").rate_limit;
     assert_eq!(limit, Some(Rate::from_per_mille(1_000)));
--- a/crates/model/src/dialect.rs
+++ b/crates/model/src/dialect.rs
@@ -44,6 +44,8 @@
     /// Requests per second that the target takes from all nodes together, on its
     /// responses for as long as it limits them.
     pub rate_limit: Option<Bytes>,
+    /// Marks the responses of a target that is about to leave.
+    pub leaving: Option<Bytes>,
     /// Whether a retry delay sent to callers may be a fraction of a second.
     pub allows_fractional_retry_after: bool,
 }
@@ -69,6 +71,7 @@
             &self.target_name,
             &self.cold_remaining,
             &self.rate_limit,
+            &self.leaving,
         ];
         optional
             .into_iter()
@@ -93,6 +96,7 @@
             target_name: None,
             cold_remaining: None,
             rate_limit: Some(name(b"x-rate-limit")),
+            leaving: Some(name(b"x-leaving")),
             allows_fractional_retry_after: false,
         }
     }
--- a/crates/node/src/target/health.rs
+++ b/crates/node/src/target/health.rs
@@ -9,7 +9,7 @@
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::Phase;
 use celeryshore_kernel::RequestEvent;
-use celeryshore_kernel::StatedRate;
+use celeryshore_kernel::ResponseStatement;
 use celeryshore_model::Dialect;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
@@ -55,8 +55,8 @@
         let health = health(&driver.dialect, &outcome);
         slog::info!(driver.log(), "target: health checked"; "health" => ?health);
         if let Outcome::Answered(response) = &outcome {
-            let rate = StatedRate::read(&driver.dialect, response);
-            driver.handle(RequestEvent::Stated { rate });
+            let statement = ResponseStatement::read(&driver.dialect, response);
+            driver.handle(RequestEvent::Stated(statement));
         }
         driver.handle(RequestEvent::HealthChecked { health });
     }
--- a/crates/node/tests/published.rs
+++ b/crates/node/tests/published.rs
@@ -365,3 +365,26 @@
     assert!(most > 0, "no request arrived while the limit held");
     assert!(most <= ALLOWED, "{most} requests in 4 s, allowed {ALLOWED}");
 }
+
+/// A target that says in its responses that it leaves got new requests.
+#[test]
+fn leaving_response() {
+    // The platform's term, after which a target that leaves gets nothing new.
+    const DRAIN: Duration = Duration::from_secs(2);
+    let (_node, vm, heads) = start(|stream, head| {
+        let id = header(head, "celeryshore-request-id");
+        let fields = format!(
+            "celeryshore-request-id: {id}\r\nceleryshore-response-signature: s\r\n\
+             server-leaving: 1\r\n"
+        );
+        reply(stream, &fields, &id).is_ok()
+    });
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("GET", "/look/1", "l1"));
+    assert_eq!(caller.receive().expect("a response").body, "l1");
+    thread::sleep(DRAIN);
+    let earlier = heads.lock().unwrap().len();
+    caller.send(request("GET", "/look/1", "l2"));
+    assert_eq!(caller.receive().expect("a response").status(), 503);
+    assert_eq!(heads.lock().unwrap().len(), earlier);
+}
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -52,6 +52,7 @@
             rate_limit_per_mille: statement.rate_limit.map(Rate::per_mille),
             target: statement.target.0,
             age_micros: micros(statement.age),
+            leaving: statement.is_leaving,
         }
     }
 }
@@ -62,6 +63,7 @@
             rate_limit: raw.rate_limit_per_mille.map(Rate::from_per_mille),
             target: Incarnation(raw.target),
             age: Duration::from_micros(raw.age_micros),
+            is_leaving: raw.leaving,
         }
     }
 }
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -78,6 +78,7 @@
 fn statement() -> TargetStatement {
     TargetStatement {
         rate_limit: Some(Rate::from_per_mille(13_800)),
+        is_leaving: true,
         target: Incarnation(8),
         age: Duration::from_micros(1_001),
     }
