Write the replies to other nodes before a drained process ends

Callers of other nodes got 502 for a request that had run, when the node next to its target was stopped while the reply was on the way. Cause: a drain waited for the end of each run, and for the callers' own connections, but not until replies to forwarded requests were written. What did not fit into the socket's buffer was lost with the process. Change: the drain also waits for these replies. Evidence: drain::large_reply (32 MiB, a peer that reads late) got an incomplete reply before, and a complete one now.

--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -51,6 +51,7 @@
 use self::pending::Pending;
 use self::quota::Quota;
 use self::wake::WakeTimer;
+use crate::callers::ConnectionTracker;
 use crate::clock::Clock;
 use crate::control::Store;
 use crate::peers::Peers;
@@ -71,6 +72,8 @@
     fleet_wake: WakeTimer,
     feed_wake: WakeTimer,
     log_quota: Quota,
+    /// Counts the peers' requests whose reply is not written yet.
+    pub(crate) unsent_replies: ConnectionTracker,
     store: Option<Arc<Store>>,
     health_checks: (Sender<String>, Receiver<String>),
     caller_limits: Mutex<Option<CallerLimits>>,
@@ -121,6 +124,7 @@
             fleet_wake: WakeTimer::default(),
             feed_wake: WakeTimer::default(),
             log_quota: Quota::default(),
+            unsent_replies: ConnectionTracker::default(),
             store: parts.store,
             health_checks: async_channel::unbounded(),
             caller_limits: Mutex::default(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -181,6 +181,7 @@
         driver.wait_drained().await;
         cancel_all(self.accept_tasks).await;
         self.callers.tracker.wait_until_empty().await;
+        driver.unsent_replies.wait_until_empty().await;
         cancel_all(self.tasks).await;
         slog::info!(driver.log(), "node: drained");
     }
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -62,7 +62,11 @@
     let Some(frame) = read.ok_or(Protocol::Timeout)?? else {
         return Ok(Next::Close);
     };
-    let reply = match RequestFrame::decode(frame)? {
+    let frame = RequestFrame::decode(frame)?;
+    // A drain ends only when the replies to forwarded requests are written.
+    let _unsent =
+        matches!(frame, RequestFrame::Request(_)).then(|| driver.unsent_replies.track(usize::MAX));
+    let reply = match frame {
         RequestFrame::Ping => Some(ReplyFrame::Pong),
         RequestFrame::Request(request) => handle_request(driver, stream, *request).await?,
         RequestFrame::Catalog(request) => handle_poll(driver, stream, request).await,
--- a/crates/node/tests/drain.rs
+++ b/crates/node/tests/drain.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -12,6 +14,19 @@
 use std::thread;
 use std::time::Duration;
 
+use celeryshore_kernel::Delivery;
+use celeryshore_kernel::Handover;
+use celeryshore_kernel::PeerReply;
+use celeryshore_kernel::PeerRequest;
+use celeryshore_kernel::ReplyOutcome;
+use celeryshore_model::Depth;
+use celeryshore_model::Digest;
+use celeryshore_model::HttpRequest;
+use celeryshore_model::KindId;
+use celeryshore_model::Version;
+use celeryshore_wire::ReplyFrame;
+use celeryshore_wire::RequestFrame;
+
 use crate::support;
 use crate::support::Caller;
 use crate::support::FakeServer;
@@ -143,3 +158,85 @@
     let log: Vec<_> = stdout.lines().map_while(Result::ok).collect();
     assert!(log.last().unwrap().ends_with("node: drained"), "{log:?}");
 }
+
+/// Returns a forwarded request for the target of `vm-1`.
+fn handover() -> PeerRequest {
+    let handover = Handover {
+        from: "vm-2".parse().unwrap(),
+        version: Version::default(),
+        upstream: "ord-1".parse().unwrap(),
+        kind: KindId {
+            service: "ordering".parse().unwrap(),
+            kind: "stock".parse().unwrap(),
+        },
+        delivery: Delivery::Repeatable,
+        remaining: Duration::from_secs(2),
+        depth: Depth::default(),
+        fingerprint: Digest::of(b"request"),
+        crashed_vms: Vec::new(),
+        max_wait: None,
+        statement: None,
+        request: HttpRequest {
+            method: "GET".into(),
+            host: "a".into(),
+            path: "/stock".into(),
+            ..HttpRequest::default()
+        },
+    };
+    Box::new(handover).into()
+}
+
+/// The reply to another node has to be written completely before the process ends.
+#[test]
+fn large_reply() {
+    const BODY_BYTES: usize = 32 * 1_024 * 1_024;
+    let vm = Vm::next();
+    let rules = support::rules(&[vm]).replace("body=64KiB", "body=40MiB");
+    support::start_platform(vm, rules);
+    FakeServer::target(vm, |_| {
+        thread::sleep(RESPONSE_TIME);
+        reply_ok(&"x".repeat(BODY_BYTES))
+    });
+    let path = format!("{}/large-reply.yaml", env!("CARGO_TARGET_TMPDIR"));
+    let limits = "limits:\n  leaving: 100ms\n";
+    fs::write(&path, support::settings(vm, vm, limits)).unwrap();
+    let mut process = Command::new(env!("CARGO_BIN_EXE_celeryshore"))
+        .args(["--settings", &path])
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    support::wait_for(|| TcpStream::connect(vm.callers()).is_ok());
+    support::wait_for(|| call(vm.callers(), "GET", "/none", "").reason() == Some("no-route"));
+    let mut peer = TcpStream::connect(vm.peer()).unwrap();
+    let frame = RequestFrame::Request(Box::new(handover()));
+    peer.write_all(&frame.encode()).unwrap();
+    thread::sleep(RESPONSE_TIME / 3);
+    let kill = Command::new("kill").arg(process.id().to_string()).status();
+    assert!(kill.unwrap().success());
+    thread::sleep(2 * RESPONSE_TIME);
+    let reply = read_reply(&mut peer).expect("a complete reply");
+    let ReplyFrame::Reply(PeerReply::Reply(reply)) = reply else {
+        panic!("not a reply to a forwarded request");
+    };
+    let ReplyOutcome::Answered(response) = reply.outcome else {
+        panic!("not answered: {:?}", reply.outcome);
+    };
+    assert_eq!(response.body.len(), BODY_BYTES);
+    assert_eq!(process.wait().unwrap().code(), Some(0));
+}
+
+/// Reads the frames of a node until one that isn't a progress message.
+fn read_reply(stream: &mut TcpStream) -> Option<ReplyFrame> {
+    loop {
+        let mut prefix = [0; 4];
+        stream.read_exact(&mut prefix).ok()?;
+        let length = u32::from_be_bytes(prefix) as usize;
+        let mut frame = prefix.to_vec();
+        frame.resize(prefix.len() + length, 0);
+        stream.read_exact(&mut frame[prefix.len()..]).ok()?;
+        match ReplyFrame::decode(frame.into()).ok()? {
+            ReplyFrame::Working => {}
+            reply => return Some(reply),
+        }
+    }
+}
