Bound the requests that a cold start may allow

A configuration with an enormous rate for cold starts made the node keep the time of as many requests: in a debug build the multiplication overflows and ends the task that reads the store, in a release build the rate wraps around or the process runs out of memory. Cause: the rate was multiplied without a bound, and the pacer of a new process fills its window with that many entries. Change: shares saturate, and a cold target gets at most 10,000 requests a second. Evidence: paced::huge_rate failed before (attempt to multiply with overflow).

--- a/crates/kernel/src/requests/terms.rs
+++ b/crates/kernel/src/requests/terms.rs
@@ -10,6 +10,10 @@
 /// arrive in a later second than it was sent in.
 const UNUSED_SLACK: u32 = 2;
 
+/// Highest number of requests per second to a target in cold start, since the time of
+/// each is kept.
+const MAX_COLD_REQUESTS: usize = 10_000;
+
 /// Requirements of a platform for the requests on it. With the default, only the
 /// rules apply.
 #[derive(Clone, Debug, Default)]
@@ -59,8 +63,10 @@
     /// Returns the number of requests that a target in cold start may get in one second.
     pub(super) fn allowed(self, rate: Rate) -> usize {
         let slack = self.slack.saturating_sub(UNUSED_SLACK);
-        let allowed = rate.times(self.share).whole() + u64::from(slack);
-        usize::try_from(allowed).unwrap_or(usize::MAX).max(1)
+        let rate = rate.times(self.share).whole();
+        let allowed = rate.saturating_add(slack.into());
+        let allowed = usize::try_from(allowed).unwrap_or(MAX_COLD_REQUESTS);
+        allowed.clamp(1, MAX_COLD_REQUESTS)
     }
 }
 
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -362,3 +362,19 @@
     assert!(mesh.runs.is_empty(), "it was queued for the other target");
     assert!(matches!(mesh.answers[&waiting], Answer::NotRun { .. }));
 }
+
+/// A rate without a sensible bound in a configuration must not use up the memory.
+#[test]
+fn huge_rate() {
+    let mut snapshot = snapshot(4);
+    tune(&mut snapshot, |s| {
+        s.limits.cold_start = Some(ColdStart {
+            rate: Rate::from_per_mille(u64::MAX),
+            duration: Duration::from_secs(3),
+        });
+    });
+    let mut mesh = mesh(snapshot);
+    mesh.advance(1_500);
+    mesh.call("vm-1", stock());
+    assert_eq!(mesh.history.len(), 1);
+}
--- a/crates/model/src/unit.rs
+++ b/crates/model/src/unit.rs
@@ -149,10 +149,10 @@
         self.0
     }
 
-    /// Returns this share of `whole`, rounded down.
+    /// Returns this share of `whole`, rounded down; less if `whole` is nearly `u64::MAX`.
     #[must_use]
     pub const fn of(self, whole: u64) -> u64 {
-        whole * (self.0 as u64) / 1_000
+        whole.saturating_mul(self.0 as u64) / 1_000
     }
 }
 
