Take the wait for a stated rate limit as exact

Forwarding nodes let a reported wait fade over a second, as they do for a cold start. A rate limit has room again after exactly that wait, so a limited target looked full for longer than it was. Change: the wait of a limited target runs out with time. stated_limits::used_limit holds the use of a limited target under overload (120 to 165 of 160 requests in 4 s); it passes without the change too, since under overload every target is asked.

--- a/crates/kernel/src/requests/forwarding/upstream_load.rs
+++ b/crates/kernel/src/requests/forwarding/upstream_load.rs
@@ -177,8 +177,13 @@
         }
     }
 
-    /// Returns the reported wait, less as the report ages.
+    /// Returns the reported wait, less as the report ages. A rate limit has room after
+    /// exactly that wait.
     fn reported_wait(&self, now: Time) -> Duration {
+        if self.is_rate_limited() {
+            let age = self.reported_at.map_or(Duration::ZERO, |at| now - at);
+            return self.report.wait.saturating_sub(age);
+        }
         let fresh = u32::try_from(self.freshness(now)).unwrap_or(0);
         self.report.wait.saturating_mul(fresh) / 1_000
     }
--- a/crates/kernel/tests/stated_limits.rs
+++ b/crates/kernel/tests/stated_limits.rs
@@ -600,3 +600,19 @@
         world.check_windows();
     }
 }
+
+/// Under overload a limited target is still used up to its limit.
+#[test]
+fn used_limit() {
+    let mut world = World::new(3);
+    world.state(Stated::Limit(40.0));
+    for _ in 0..300 {
+        world.step(HIGH_LOAD);
+    }
+    let from = world.step;
+    for _ in 0..400 {
+        world.step(HIGH_LOAD);
+    }
+    let arrived = world.arrived_since(from);
+    assert!((120..=165).contains(&arrived), "{arrived} in 4 s at 40/s");
+}
