Show a target's stated limit and leaving in the status

Operators saw neither in the status of a node, only in the dump. The status and the table of celeryshorectl now have both; an older node's status still reads.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -58,6 +58,12 @@
     pub in_flight: u32,
     /// Maximum number of requests that run at the local target concurrently.
     pub limit: u32,
+    /// Requests per second that the local target states to take, such as `9.5/s`.
+    #[serde(default)]
+    pub rate_limit: Option<String>,
+    /// Whether the local target states that it is about to leave.
+    #[serde(default)]
+    pub target_leaving: bool,
 }
 
 fn deserialize_version<'de, D: Deserializer<'de>>(
@@ -151,7 +157,7 @@
         age: status.age_ms.map_or(UNKNOWN.to_owned(), format_age),
         state: status.state.clone(),
         role: status.role.clone(),
-        phase: status.phase.clone(),
+        phase: format_phase(status),
         in_flight: format!("{}/{}", status.in_flight, status.limit),
     }
 }
@@ -171,6 +177,18 @@
     }
 }
 
+/// Returns the phase of the local target and what the target states about itself.
+fn format_phase(status: &Status) -> String {
+    let mut text = status.phase.clone();
+    if let Some(rate) = &status.rate_limit {
+        text += &format!(", at most {rate}");
+    }
+    if status.target_leaving {
+        text += ", leaving";
+    }
+    text
+}
+
 fn format_version(version: &Version) -> String {
     let Version {
         epoch,
--- a/crates/ctl/tests/nodes.rs
+++ b/crates/ctl/tests/nodes.rs
@@ -82,6 +82,15 @@
     "#);
 }
 
+#[test]
+fn stated_limit() {
+    let stated = r#""limit": 6, "rate_limit": "9.5/s", "target_leaving": true"#;
+    let node = node(vec![status(7).replace(r#""limit": 6"#, stated)]);
+    let (exit, text) = run(&["status", &node.to_string()]);
+    assert_eq!(exit.unwrap(), Exit::Success);
+    assert!(text.contains("warm, at most 9.5/s, leaving"), "{text}");
+}
+
 #[test]
 fn status_json() {
     let node = node(vec![status(7)]);
--- a/crates/node/src/operators/status.rs
+++ b/crates/node/src/operators/status.rs
@@ -31,6 +31,10 @@
     phase: Value,
     in_flight: Value,
     limit: Value,
+    /// Requests per second that the local target states to take, if it does.
+    rate_limit: Value,
+    /// Whether the local target states that it is about to leave.
+    target_leaving: bool,
 }
 
 #[derive(Debug, Serialize)]
@@ -71,6 +75,8 @@
             phase: requests["load"]["phase"].clone(),
             in_flight: requests["load"]["in_flight"].clone(),
             limit: requests["load"]["limit"].clone(),
+            rate_limit: requests["statement"]["rate_limit"].clone(),
+            target_leaving: requests["statement"]["is_leaving"] == true,
         }
     }
 }
--- a/crates/node/tests/published.rs
+++ b/crates/node/tests/published.rs
@@ -359,6 +359,8 @@
         reply(stream, &fields, &id).is_ok()
     });
     send_steadily(vm, 30, 8);
+    let status = call(vm.operators(), "GET", "/status", "").body;
+    assert!(status.contains("\"rate_limit\": \"5/s\""), "{status}");
     let arrivals = arrivals.lock().unwrap();
     let first = *arrivals.first().expect("a request that arrived");
     let most = busiest_span(&arrivals, first + SETTLING, WINDOW);
