--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -179,14 +179,14 @@
 
 /// Returns the phase of the local target and what the target states about itself.
 fn format_phase(status: &Status) -> String {
-    let mut text = status.phase.clone();
-    if let Some(rate) = &status.rate_limit {
-        text += &format!(", at most {rate}");
-    }
-    if status.target_leaving {
-        text += ", leaving";
-    }
-    text
+    let rate_limit = status.rate_limit.as_ref();
+    let limited = rate_limit.map(|rate| format!(", at most {rate}"));
+    let leaving = if status.target_leaving {
+        ", leaving"
+    } else {
+        ""
+    };
+    format!("{}{}{leaving}", status.phase, limited.unwrap_or_default())
 }
 
 fn format_version(version: &Version) -> String {
--- a/crates/kernel/src/requests/admission/scheduler.rs
+++ b/crates/kernel/src/requests/admission/scheduler.rs
@@ -5,6 +5,8 @@
 //! allows. Everything else is refused, so that the caller can try another upstream
 //! early.
 
+mod waits;
+
 use std::time::Duration;
 
 use celeryshore_model::KindId;
@@ -15,7 +17,6 @@
 
 use super::adaptive_limit::Observation;
 use super::decision::Decision;
-use super::decision::Refusal;
 use super::decision::SlotRequest;
 use super::in_flight::InFlight;
 use super::limiter::Limiter;
@@ -35,17 +36,12 @@
 use crate::requests::WorkId;
 use crate::requests::terms::ColdStartTerms;
 
-/// Lower bound of the retry delay that a refusal states.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time without an empty queue after which the queue counts as standing. It is longer
 /// than a few runs, so the queue no longer absorbs a mere burst.
 const STANDING_QUEUE_AFTER: Duration = Duration::from_millis(250);
 /// Divisor of the allowed wait while the queue is standing. Waiting in a standing queue
 /// adds no throughput; it only delays every response.
 const STANDING_QUEUE_DIVISOR: u32 = 4;
-/// Divisor of the service time. A queued request with less time left than this part of
-/// the service time isn't started.
-const MIN_RUN_TIME_DIVISOR: u32 = 2;
 
 /// Slots and queue of the local target.
 #[derive(Debug)]
@@ -233,49 +229,6 @@
         max_wait.map(|max| max / divisor)
     }
 
-    /// Returns the refusal of a request that exceeds the capacity of the target.
-    pub(super) fn overload_refusal(&self, now: Time) -> Refusal {
-        self.refusal(
-            now,
-            match self.limiter.phase(now) {
-                Phase::Down => NotRun::TargetDown,
-                _ if self.is_rate_limited(now) => NotRun::RateLimited,
-                Phase::Warm => NotRun::Overloaded,
-                _ => NotRun::ColdStart,
-            },
-        )
-    }
-
-    /// Returns `true` if the rate limit delays a new request longer than the slots do.
-    fn is_rate_limited(&self, now: Time) -> bool {
-        let position = self.queue.len();
-        let wait = self.rate_limit.wait(now, position);
-        !wait.is_zero() && wait >= self.wait_for_slot(now, position)
-    }
-
-    fn refusal(&self, now: Time, reason: NotRun) -> Refusal {
-        Refusal {
-            reason,
-            retry_after: self
-                .expected_wait(now, self.queue.len())
-                .max(MIN_RETRY_AFTER),
-        }
-    }
-
-    /// Returns `true` if a request that starts after `wait` is expected to end within
-    /// `remaining`.
-    pub(super) fn fits_deadline(&self, now: Time, wait: Duration, remaining: Duration) -> bool {
-        self.limiter.phase(now) != Phase::Down
-            && wait + self.in_flight.service_time(now) < remaining
-    }
-
-    /// Returns `true` if a request that starts now has a fair chance to end within
-    /// `remaining`.
-    pub(super) fn can_finish(&self, now: Time, remaining: Duration) -> bool {
-        let min_run_time = self.in_flight.service_time(now) / MIN_RUN_TIME_DIVISOR;
-        remaining >= min_run_time && !remaining.is_zero()
-    }
-
     /// Records that a request takes a slot and starts.
     pub(super) fn start(&mut self, now: Time, kind: &KindId, rank: Rank) {
         let run = self.shares.record_start(now, kind);
@@ -329,14 +282,6 @@
         self.queue.iter()
     }
 
-    /// Returns the queued requests with the expected time until each starts.
-    pub(super) fn expected_waits(&self, now: Time) -> Vec<(Duration, WorkId)> {
-        let positions = self.queue.positions(&self.shares).into_iter();
-        positions
-            .map(|(position, work)| (self.expected_wait(now, position), work))
-            .collect()
-    }
-
     /// Removes and returns the request to start next, if a slot is free.
     pub(super) fn next(&mut self, now: Time) -> Option<WorkId> {
         if self.admits(now) {
@@ -377,20 +322,4 @@
             self.limiter.phase(now)
         }
     }
-
-    /// Returns the expected wait for a slot at a position in the queue.
-    fn expected_wait(&self, now: Time, position: usize) -> Duration {
-        self.wait_for_slot(now, position)
-            .max(self.rate_limit.wait(now, position))
-    }
-
-    /// Returns the expected wait at a position in the queue without a rate limit of the
-    /// target.
-    fn wait_for_slot(&self, now: Time, position: usize) -> Duration {
-        let ahead = u32::try_from(position).unwrap_or(u32::MAX);
-        let rounds = ahead.saturating_add(1);
-        let for_slot =
-            self.in_flight.service_time(now).saturating_mul(rounds) / self.limiter.get().max(1);
-        for_slot.max(self.limiter.pace_wait(now, position))
-    }
 }
