Show a configuration that is ignored after the store was restored

A store that comes back from an older copy gives its revisions out again; a node keeps what stood at the higher revision and ignores the configuration that operators write next, until its revision passes the old one. Seen: version 7 stays in effect, 9 is due. That the older copy's version 5 does not take effect holds already.

--- a/crates/kernel/tests/feed.rs
+++ b/crates/kernel/tests/feed.rs
@@ -614,3 +614,31 @@
     node.send(FeedEvent::ChangesReceived { fetch, changes });
     assert!(!node.has_upstream_on(other));
 }
+
+/// A store that comes back from an older copy gives its revisions out again. What is
+/// written to it then has to take effect, and what the older copy holds must not.
+#[test]
+fn restored_store() {
+    let mut node = reader();
+    let index = |node: &Node| node.snapshot.as_ref().map(|s| s.version.index);
+    node.send_changes(StoreSection::Configuration, vec![item("conf", 50, "7")]);
+    node.advance(1_000);
+    let fetch = node
+        .take_read(StoreSection::Configuration)
+        .expect("pending read");
+    let failure = FetchFailure::Invalid(AdapterError::HistoryGone);
+    node.send(FeedEvent::FetchFailed { fetch, failure });
+    node.advance(1_000);
+    let fetch = node
+        .take_read(StoreSection::Configuration)
+        .expect("pending list");
+    let page = Page {
+        items: vec![item("conf", 38, "5")],
+        has_more: false,
+        revision: StoreRevision(40),
+    };
+    node.send(FeedEvent::PageReceived { fetch, page });
+    assert_eq!(index(&node), Some(Index(7)));
+    node.send_changes(StoreSection::Configuration, vec![item("conf", 45, "9")]);
+    assert_eq!(index(&node), Some(Index(9)));
+}
