Let targets of scenarios state a rate limit and that they leave

Scenarios could not say what a target states, so nothing played it on several nodes with their real messages.

--- a/crates/trials/src/scenario/expectation.rs
+++ b/crates/trials/src/scenario/expectation.rs
@@ -27,6 +27,12 @@
             Expectation::Whole(share) => self.expect_whole(*share),
             Expectation::NoNewWork { place, after } => self.expect_no_new_work(place, *after),
             Expectation::Reads { per_second } => self.expect_reads(*per_second),
+            Expectation::Sent {
+                place,
+                count,
+                span,
+                since,
+            } => self.expect_sent(place, *count, *span, Time::ZERO + *since),
         }
     }
 
@@ -140,6 +146,26 @@
         Err(self.error(Category::Expectation, expected, found))
     }
 
+    /// Checks the span with the most requests, since `since`, of those that have ended.
+    fn expect_sent(&self, place: &Place, count: usize, span: Duration, since: Time) -> Result<()> {
+        let nodes = self.nodes(place)?;
+        let runs = self.sim.recorder.runs.iter();
+        let times: Vec<_> = runs
+            .filter(|run| nodes.contains(&run.node) && run.at >= since)
+            .map(|run| run.at)
+            .collect();
+        let in_span = |start: &Time| {
+            let within = |at: &&Time| **at >= *start && **at - *start < span;
+            times.iter().filter(within).count()
+        };
+        let most = times.iter().map(in_span).max().unwrap_or(0);
+        if most <= count {
+            return Ok(());
+        }
+        let expected = format!("at most {count} requests to {place} in {span:?}");
+        Err(self.error(Category::Expectation, expected, most))
+    }
+
     fn expect_reads(&self, per_second: u32) -> Result<()> {
         let (reads_before, since) = self.reads_since;
         let reads = self.sim.platform.reads - reads_before;
--- a/crates/trials/src/scenario/grammar.rs
+++ b/crates/trials/src/scenario/grammar.rs
@@ -131,6 +131,8 @@
         word("down").value(TargetMode::Down),
         word("silent").value(TargetMode::Silent),
         word("broken").value(TargetMode::Broken),
+        preceded(word("limited"), rate).map(TargetMode::Limited),
+        word("leaving").value(TargetMode::Leaving),
     ))
     .parse_next(input)
 }
@@ -176,6 +178,7 @@
         answer,
         runs,
         no_new_work,
+        sent,
         whole.map(Expectation::Whole),
         reads.map(|per_second| Expectation::Reads { per_second }),
     ));
@@ -223,6 +226,20 @@
         .parse_next(input)
 }
 
+fn sent(input: &mut &str) -> ModalResult<Expectation> {
+    let count = preceded(word("at-most"), number);
+    let span = preceded(word("in"), time);
+    let since = preceded(word("since"), time);
+    preceded(word("sent"), (place, count, span, since))
+        .map(|(place, count, span, since)| Expectation::Sent {
+            place,
+            count,
+            span,
+            since,
+        })
+        .parse_next(input)
+}
+
 fn within(input: &mut &str) -> ModalResult<Duration> {
     opt(preceded(word("within"), time))
         .map(Option::unwrap_or_default)
--- a/crates/trials/src/scenario/mod.rs
+++ b/crates/trials/src/scenario/mod.rs
@@ -38,6 +38,7 @@
 //! | `kill PLACE`, `restart PLACE`, `freeze PLACE TIME`, `drain PLACE` | acts on the processes of a place, which may also be `everywhere` |
 //! | `source up`, `down`, `stale`, `older`, `torn` or `flap` | sets how the platform answers reads |
 //! | `target PLACE ok`, `warm`, `down`, `silent` or `broken` | sets how targets handle requests; a warm one has no cold start |
+//! | `target PLACE limited N/s` or `leaving` | warm targets that state a rate limit, or that they leave, in each response |
 //! | `send nN KIND [key=K] [attempt=N] [as NAME]` | sends a caller's request |
 //! | `load KIND N/s for TIME [zone A]` | sends requests at a constant rate to random running nodes that do not drain |
 //! | `wait TIME` | advances the time |
@@ -47,6 +48,7 @@
 //! | `expect runs K at-most N` or `exactly N` | how often the requests with a key ran |
 //! | `expect whole at-least SHARE` | share of all requests that got complete responses |
 //! | `expect no-new-work PLACE after TIME` | no run started there more than this time after the place was taken out or drained |
+//! | `expect sent PLACE at-most N in TIME since TIME` | requests that the targets of a place got in any span of this length, from a time of the scenario on |
 //! | `expect reads at-most N/s` | reads of the platform since the last statement with `at` or `wait` |
 //!
 //! [`Scenario`] parses its lines with `grammar` into the statements of `script`.
--- a/crates/trials/src/scenario/script.rs
+++ b/crates/trials/src/scenario/script.rs
@@ -138,6 +138,10 @@
     Silent,
     /// Runs requests, then breaks the connection.
     Broken,
+    /// Like `Warm`, and states a limit of this many requests per second.
+    Limited(u32),
+    /// Like `Warm`, and states that it is about to leave.
+    Leaving,
 }
 
 /// Request of a caller.
@@ -191,6 +195,14 @@
     Reads {
         per_second: u32,
     },
+    /// Highest number of requests that the targets of a place together get in a span.
+    Sent {
+        place: Place,
+        count: usize,
+        span: Duration,
+        /// Time of the scenario from which requests count.
+        since: Duration,
+    },
 }
 
 /// Kind of an answer to a caller.
--- a/crates/trials/src/scenario/target.rs
+++ b/crates/trials/src/scenario/target.rs
@@ -7,6 +7,7 @@
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::Phase;
 use celeryshore_kernel::WorkId;
+use celeryshore_model::Header;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
 use celeryshore_model::Time;
@@ -56,9 +57,11 @@
         let request = self.running.remove(&work)?;
         self.responses += 1;
         Some(match self.mode {
-            TargetMode::Ok | TargetMode::Warm | TargetMode::Down => {
-                Outcome::Answered(response(&request))
-            }
+            TargetMode::Ok
+            | TargetMode::Warm
+            | TargetMode::Down
+            | TargetMode::Limited(_)
+            | TargetMode::Leaving => Outcome::Answered(self.response(&request)),
             TargetMode::Silent => Outcome::Silent,
             TargetMode::Broken => Outcome::Broken,
         })
@@ -84,18 +87,25 @@
     }
 
     fn is_cold(&self, now: Time) -> bool {
-        self.mode != TargetMode::Warm
-            && now - self.started_at < COLD_START_TIME
+        !matches!(
+            self.mode,
+            TargetMode::Warm | TargetMode::Limited(_) | TargetMode::Leaving
+        ) && now - self.started_at < COLD_START_TIME
             && self.responses < COLD_START_RESPONSES
     }
-}
 
-/// Returns a response with the operation of the request as its body, which shows
-/// whose response it is.
-fn response(request: &HttpRequest) -> HttpResponse {
-    HttpResponse {
-        status: OK,
-        headers: Vec::new(),
-        body: Bytes::clone(&request.body),
+    /// Returns a response with the operation of the request as its body, which shows
+    /// whose response it is, and with what the target states about itself.
+    fn response(&self, request: &HttpRequest) -> HttpResponse {
+        let headers = match self.mode {
+            TargetMode::Limited(rate) => vec![Header::new("x-rate-limit", rate.to_string())],
+            TargetMode::Leaving => vec![Header::new("x-leaving", "1")],
+            _ => Vec::new(),
+        };
+        HttpResponse {
+            status: OK,
+            headers,
+            body: Bytes::clone(&request.body),
+        }
     }
 }
--- a/crates/trials/tests/scenarios.rs
+++ b/crates/trials/tests/scenarios.rs
@@ -58,6 +58,8 @@
     reader_cut
     restart_stale
     stale_source
+    stated_leaving
+    stated_limit
     storm
     zone_cut
     zone_out
