Hold a restarted node to the limit that its senders know

Guards the order of two sources: an unreadable value in the first response after a restart told the node nothing, and must not outweigh what the next request brings.

--- a/crates/kernel/tests/stated_limits.rs
+++ b/crates/kernel/tests/stated_limits.rs
@@ -441,6 +441,27 @@
     assert_eq!(limit, Some(Rate::from_per_mille(10_000)));
 }
 
+/// A value that can't be read tells a restarted node nothing, so what its senders know
+/// still counts.
+#[test]
+fn unreadable_after_restart() {
+    let mut world = World::with_one_target();
+    world.state(Stated::Limit(2.0));
+    for _ in 0..300 {
+        world.step(HIGH_LOAD);
+    }
+    world.state(Stated::Unreadable);
+    world.restart(LIMITED);
+    world.call(LIMITED);
+    for _ in 0..10 {
+        world.pass();
+    }
+    world.call(VMS[1]);
+    let statement = world.mesh.status(LIMITED).statement;
+    let limit = statement.expect("a statement").rate_limit;
+    assert_eq!(limit, Some(Rate::from_per_mille(2_000)));
+}
+
 /// A target that takes over the address of another one has no limit yet.
 #[test]
 fn replaced_target() {
