Take the lower of two limits that were stated before a restart

A restarted node that heard of two limits from its senders kept the first, also when the second was later and lower: 30 requests a second for a target that takes 2, until its next response. Cause: the clock of a process begins at its start, so all earlier statements have the same time. The lower one counts now. stated_limits::statements_before_start failed before (30/s, 2/s due); the tests before it ran with processes that were an hour old.

--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -15,8 +15,8 @@
 //!
 //! The `scheduler` combines the `limiter` (how many requests may run) and the `rate_limit`
 //! that the target states with the `queue`, whose order follows from `rank` and `shares`.
-//! `statement` reads what the target states in its responses. `local_target` detects restarts of the
-//! target, and `crash` detects requests that crash it.
+//! `statement` reads what the target states in its responses. `local_target` detects
+//! restarts of the target, and `crash` detects requests that crash it.
 
 mod adaptive_limit;
 mod admit;
--- a/crates/kernel/src/requests/admission/rate_limit.rs
+++ b/crates/kernel/src/requests/admission/rate_limit.rs
@@ -4,6 +4,7 @@
 //! nodes go on with the full load and callers come back. Every request to the target
 //! passes this node, so one limiter bounds the sum over all forwarding nodes.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use celeryshore_model::Rate;
@@ -99,15 +100,22 @@
     }
 
     /// Takes over a limit that another node knows from the target's responses. Returns
-    /// `true` if it is later than the one that is known here.
+    /// `true` if it replaces the one that is known here.
+    ///
+    /// The later limit counts, and the lower one of those that were stated before this
+    /// process started, whose order its clock can't tell.
     pub(super) fn adopt(&mut self, now: Time, rate: Rate, stated_at: Time) -> bool {
-        let is_later = self
+        let is_adopted = self
             .limit
-            .is_none_or(|limit| stated_at > limit.stated_at && rate != limit.rate);
-        if is_later {
+            .is_none_or(|known| match stated_at.cmp(&known.stated_at) {
+                Ordering::Less => false,
+                Ordering::Equal => rate < known.rate,
+                Ordering::Greater => rate != known.rate,
+            });
+        if is_adopted {
             self.set(now, rate, stated_at);
         }
-        is_later
+        is_adopted
     }
 
     /// Sets a limit. The target may just have got requests beyond it, so the next one
--- a/crates/kernel/tests/stated_limits.rs
+++ b/crates/kernel/tests/stated_limits.rs
@@ -8,17 +8,24 @@
 
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
+use celeryshore_kernel::Delivery;
+use celeryshore_kernel::Handover;
 use celeryshore_kernel::Health;
+use celeryshore_kernel::InboundId;
 use celeryshore_kernel::NotRun;
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::ResponseStatement;
 use celeryshore_kernel::StatedRate;
+use celeryshore_kernel::TargetStatement;
 use celeryshore_model::ColdStart;
+use celeryshore_model::Depth;
 use celeryshore_model::Dialect;
+use celeryshore_model::Digest;
 use celeryshore_model::Header;
 use celeryshore_model::HttpResponse;
 use celeryshore_model::Incarnation;
+use celeryshore_model::KindId;
 use celeryshore_model::Rate;
 use celeryshore_model::Slots;
 use celeryshore_model::Snapshot;
@@ -462,6 +469,46 @@
     assert_eq!(limit, Some(Rate::from_per_mille(2_000)));
 }
 
+/// Two senders of a restarted node know statements that are older than its process. Their
+/// order is unknown, so the lower limit counts.
+#[test]
+fn statements_before_start() {
+    let mut world = World::new(1);
+    world.mesh.now = common::at(0);
+    world.start(LIMITED);
+    for (inbound, age_ms, per_mille) in [(1, 3_000, 30_000), (2, 200, 2_000), (3, 900, 9_000)] {
+        let handover = Handover {
+            from: name(VMS[1]),
+            version: world.snapshot.version,
+            upstream: "ordering-1".parse().expect("valid upstream"),
+            kind: KindId {
+                service: "ordering".parse().expect("valid service"),
+                kind: "order".parse().expect("valid kind"),
+            },
+            delivery: Delivery::Once,
+            remaining: Duration::from_secs(1),
+            depth: Depth::default(),
+            fingerprint: Digest::of(b"request"),
+            crashed_vms: Vec::new(),
+            max_wait: Some(Duration::ZERO),
+            statement: Some(TargetStatement {
+                rate_limit: Some(Rate::from_per_mille(per_mille)),
+                age: Duration::from_millis(age_ms),
+                ..TargetStatement::default()
+            }),
+            request: order(),
+        };
+        let request = Box::new(handover).into();
+        let inbound = InboundId(inbound);
+        world
+            .mesh
+            .send(LIMITED, RequestEvent::Received { inbound, request });
+    }
+    let statement = world.mesh.status(LIMITED).statement;
+    let limit = statement.expect("a statement").rate_limit;
+    assert_eq!(limit, Some(Rate::from_per_mille(2_000)));
+}
+
 /// A target that takes over the address of another one has no limit yet.
 #[test]
 fn replaced_target() {
