Order the store's revisions by era first

Callers kept seeing an old configuration after the store came back from an older copy: what operators wrote again at a revision that was given out before was ignored until the numbers had passed the lost ones.

Cause: nodes compared the numbers of revisions alone. Change: a revision is a pair of era and number, read from every successful response of the store and sent between nodes in fields that an older node skips. A restore is followed by one complete list. A configuration with a higher version counts whatever its revision. What the copy lacks stays until it is written again; a reader asks one peer after its first list.

--- a/crates/kernel/src/feed/catalog.rs
+++ b/crates/kernel/src/feed/catalog.rs
@@ -87,15 +87,33 @@
         *known = revision.max(*known);
     }
 
+    /// Returns the revision of an item or of its tombstone.
+    pub(super) fn item_revision(&self, key: &ItemKey) -> Option<Revision> {
+        self.entries.get(key).map(|e| e.item.revision)
+    }
+
+    /// Sets the revision of an item whose known value is kept.
+    pub(super) fn set_revision(&mut self, key: &ItemKey, revision: Revision) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.item.revision = revision;
+        }
+    }
+
     /// Applies an item, unless the catalog has the same or a newer revision of it.
-    pub(super) fn apply(&mut self, section: Section, item: Item) -> ApplyOutcome {
-        let known = self.entries.get_mut(&item.key);
-        if known
-            .as_ref()
-            .is_some_and(|k| k.item.revision >= item.revision)
+    ///
+    /// A configuration with a higher version is applied whatever its revision. A node
+    /// that read an older copy of the store learns the configuration in effect from
+    /// its peers.
+    pub(super) fn apply(&mut self, section: Section, mut item: Item) -> ApplyOutcome {
+        if let Some(known) = self.entries.get(&item.key)
+            && known.item.revision >= item.revision
         {
-            return ApplyOutcome::Unchanged;
+            if !self.is_newer_version(known, &item) {
+                return ApplyOutcome::Unchanged;
+            }
+            item.revision = known.item.revision;
         }
+        let known = self.entries.get_mut(&item.key);
         let record = match &item.value {
             Some(_) => self.adapter.decode(&item).map(Some),
             None => Ok(None),
@@ -221,6 +239,18 @@
         })
     }
 
+    /// Returns `true` if `item` is a configuration with a higher version than `known`.
+    fn is_newer_version(&self, known: &Entry, item: &Item) -> bool {
+        let Some(Record::Configuration(snapshot)) = &known.record else {
+            return false;
+        };
+        if item.value.is_none() || item.value == known.item.value {
+            return false;
+        }
+        matches!(self.adapter.decode(item),
+            Ok(Record::Configuration(new)) if new.version > snapshot.version)
+    }
+
     fn records(&self) -> impl Iterator<Item = &Record> {
         self.entries
             .values()
--- a/crates/kernel/src/feed/event.rs
+++ b/crates/kernel/src/feed/event.rs
@@ -15,6 +15,7 @@
 use super::CatalogAnswer;
 use super::CatalogRequest;
 use super::Changes;
+use super::Era;
 use super::ItemKey;
 use super::Page;
 use super::Revision;
@@ -171,6 +172,30 @@
         /// Reason of the failure.
         failure: FetchFailure,
     },
+    /// The store was restored from an older copy of its data.
+    #[display("store restored from an older copy: era {era} after era {known}")]
+    StoreRestored {
+        /// Era that was known before.
+        known: Era,
+        /// Era of the restored store.
+        era: Era,
+    },
+    /// A response of the store is from an era before the latest known one.
+    #[display("{section} read from era {era} ignored: era {known} is known")]
+    OutdatedResponse {
+        /// Section that was read.
+        section: Section,
+        /// Era of the response.
+        era: Era,
+        /// Latest known era.
+        known: Era,
+    },
+    /// An item is missing from a restored store and stays in effect.
+    #[display("item {key} kept: it may have been lost in the restore of the store")]
+    ItemKept {
+        /// Key of the item.
+        key: ItemKey,
+    },
     /// An item cannot be decoded. A previous configuration stays in effect; any other
     /// previous value is no longer used.
     #[display("item {key} at revision {revision} refused: {problem}")]
--- a/crates/kernel/src/feed/item.rs
+++ b/crates/kernel/src/feed/item.rs
@@ -6,9 +6,58 @@
 use derive_more::Display;
 use serde::Serialize;
 
+/// Number of times that a store was restored from an older copy of its data.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+impl Era {
+    /// Returns the era after the next restore.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
 /// Revision of a store; it increases with every change.
+///
+/// A restored store assigns the numbers after that of its copy again. Revisions are
+/// therefore ordered by era first.
+///
+/// # Example
+///
+/// ```
+/// use celeryshore_kernel::StoreEra;
+/// use celeryshore_kernel::StoreRevision;
+///
+/// let lost = StoreRevision::new(StoreEra(0), 50);
+/// let rewritten = StoreRevision::new(StoreEra(1), 45);
+/// assert!(rewritten > lost);
+/// assert_eq!(rewritten.to_string(), "45 of era 1");
+/// ```
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
-pub struct Revision(pub u64);
+#[display("{number} of era {era}")]
+pub struct Revision {
+    /// Era in which the revision was assigned.
+    pub era: Era,
+    /// Number of the change; zero before the first change.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Creates a revision.
+    #[must_use]
+    pub const fn new(era: Era, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+/// Creates a revision of a store that was never restored.
+impl From<u64> for Revision {
+    fn from(number: u64) -> Self {
+        Self::new(Era::default(), number)
+    }
+}
 
 /// Part of the store that is listed and watched as a unit.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
@@ -75,6 +124,9 @@
     pub has_more: bool,
     /// Revision of the store at which the page was read.
     pub revision: Revision,
+    /// Era of the store, if it states one. The feed sets the era of all revisions of
+    /// the page.
+    pub era: Option<Era>,
 }
 
 /// Changes of a section after a revision.
@@ -84,4 +136,31 @@
     pub items: Vec<Item>,
     /// Revision up to which the changes are complete.
     pub revision: Revision,
+    /// Era of the store, if it states one. The feed sets the era of all revisions of
+    /// the changes.
+    pub era: Option<Era>,
+}
+
+impl Page {
+    /// Sets the era of all revisions.
+    pub(super) fn in_era(mut self, era: Era) -> Self {
+        set_era(&mut self.items, era);
+        self.revision.era = era;
+        self
+    }
+}
+
+impl Changes {
+    /// Sets the era of all revisions.
+    pub(super) fn in_era(mut self, era: Era) -> Self {
+        set_era(&mut self.items, era);
+        self.revision.era = era;
+        self
+    }
+}
+
+fn set_era(items: &mut [Item], era: Era) {
+    for item in items {
+        item.revision.era = era;
+    }
 }
--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -12,7 +12,8 @@
 //! send, and `step` runs after every event: it builds a changed configuration,
 //! answers polls and starts reads. `section_reader` schedules the reads of one
 //! section of the store, and `peers` selects the peer to follow. `catalog` holds
-//! the newest revision of every item, and `compile` builds one [`Snapshot`] from
+//! the newest revision of every item, `restore` decides what stays in effect after the
+//! store was restored from an older copy, and `compile` builds one [`Snapshot`] from
 //! it. An [`Adapter`] translates between a platform's wire format and these types.
 
 mod adapter;
@@ -23,6 +24,7 @@
 mod message;
 mod peers;
 mod responses;
+mod restore;
 mod section_reader;
 mod status;
 mod step;
@@ -55,6 +57,7 @@
 pub use self::event::PollId;
 pub use self::event::SourceName;
 pub use self::item::Changes;
+pub use self::item::Era;
 pub use self::item::Item;
 pub use self::item::ItemKey;
 pub use self::item::Page;
@@ -104,8 +107,14 @@
     last_fetch: u64,
     /// Time at which the store last confirmed the contents of the catalog.
     confirmed_at: Option<Time>,
-    /// End of the latest store outage.
+    /// End of the latest store outage, or time at which a restore was noticed.
     store_recovered_at: Option<Time>,
+    /// Latest known era of the store.
+    era: Era,
+    /// Time at which the latest restore of the store was noticed.
+    restored_at: Option<Time>,
+    /// Whether a peer was polled since the start of the process.
+    has_polled_peer: bool,
     source: Option<SourceName>,
     /// Configuration in effect.
     snapshot: Option<Arc<Snapshot>>,
@@ -162,6 +171,9 @@
             last_fetch: 0,
             confirmed_at: None,
             store_recovered_at: None,
+            era: Era::default(),
+            restored_at: None,
+            has_polled_peer: false,
             source: None,
             snapshot: None,
             compiled_sequence: 0,
--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -49,16 +49,32 @@
             return;
         };
         let section = self.readers[index].section();
+        let Some(era) = self.response_era(now, index, page.era, page.revision.number) else {
+            return;
+        };
+        if self.readers[index].has_pages_of_other_era(era) {
+            self.readers[index].require_list(now);
+            return;
+        }
+        let page = page.in_era(era);
         let next = self.next_fetch();
         let listed = self.readers[index].add_page(&page, now, next);
         for item in page.items {
-            self.apply_from_store(now, section, item);
+            if self.is_outdated_copy(section, &item) {
+                self.catalog.set_revision(&item.key, item.revision);
+            } else {
+                self.apply_from_store(now, section, item);
+            }
         }
         match listed {
             Ok(list) => {
                 let revision = list.revision.unwrap_or(page.revision);
                 for item in self.catalog.removals(section, &list.keys, revision) {
-                    self.apply_from_store(now, section, item);
+                    if self.is_lost_in_restore(now, &item) {
+                        self.defer_lost_item(now, section, item);
+                    } else {
+                        self.apply_from_store(now, section, item);
+                    }
                 }
                 self.catalog.advance(section, revision);
                 self.record_confirmation(now, section);
@@ -73,11 +89,22 @@
     }
 
     /// Applies changes of the store.
+    ///
+    /// Changes after a revision that a restored store has assigned again are not
+    /// complete; a list replaces them.
     pub(super) fn on_changes(&mut self, now: Time, fetch: FetchId, changes: Changes) {
         let Some(index) = self.readers.iter().position(|r| r.is_current(fetch)) else {
             return;
         };
         let section = self.readers[index].section();
+        let Some(era) = self.response_era(now, index, changes.era, changes.revision.number) else {
+            return;
+        };
+        if era != self.catalog.revision(section).era {
+            self.readers[index].require_list(now);
+            return;
+        }
+        let changes = changes.in_era(era);
         self.readers[index].record_changes(now);
         self.record_confirmation(now, section);
         for item in changes.items {
@@ -128,6 +155,9 @@
     /// data is too old or was never confirmed by the store.
     pub(super) fn on_answer(&mut self, now: Time, fetch: FetchId, answer: &CatalogAnswer) {
         let outgoing = self.outgoing_poll.take_if(|poll| poll.fetch == fetch);
+        for revision in answer.revisions {
+            self.observe_era(now, revision.era);
+        }
         for (section, item) in &answer.items {
             let is_covered = item.revision <= self.catalog.revision(*section);
             if !is_covered || self.catalog.contains(&item.key) {
@@ -135,7 +165,7 @@
             }
         }
         if answer.is_whole {
-            self.remove_missing(answer);
+            self.remove_missing(now, answer);
         }
         for section in Section::ALL {
             let revision = answer.revisions[section.index()];
@@ -182,6 +212,7 @@
             wait,
         };
         let fetch = self.next_fetch();
+        self.has_polled_peer = true;
         self.outgoing_poll = Some(OutgoingPoll {
             fetch,
             vm: Some(vm),
@@ -205,7 +236,7 @@
     /// The removal of an upstream soon after a store outage is deferred, because its
     /// registration may have expired during the outage and its target may register
     /// again.
-    fn apply_from_store(&mut self, now: Time, section: Section, item: Item) {
+    pub(super) fn apply_from_store(&mut self, now: Time, section: Section, item: Item) {
         self.deferred_removals.remove(&item.key);
         let grace_end = self.store_recovered_at.map(|at| at + EXPIRY_GRACE);
         let until = grace_end.filter(|until| *until > now);
@@ -233,7 +264,7 @@
 
     /// Removes the items that are not in the complete catalog of a peer, unless the
     /// peer's revision of the section is older than the known one.
-    fn remove_missing(&mut self, answer: &CatalogAnswer) {
+    fn remove_missing(&mut self, now: Time, answer: &CatalogAnswer) {
         for section in Section::ALL {
             let revision = answer.revisions[section.index()];
             if revision < self.catalog.revision(section) {
@@ -242,7 +273,11 @@
             let listed = answer.items.iter().filter(|(s, _)| *s == section);
             let listed = listed.map(|(_, item)| item.key.clone()).collect();
             for item in self.catalog.removals(section, &listed, revision) {
-                self.apply(section, item);
+                if self.is_lost_in_restore(now, &item) {
+                    self.defer_lost_item(now, section, item);
+                } else {
+                    self.apply(section, item);
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/kernel/src/feed/restore.rs
@@ -0,0 +1,105 @@
+//! Restores of the store from an older copy of its data.
+//!
+//! A restored store has lost its latest changes and assigns their revisions again.
+//! Operators and targets then write again what was lost. Until they have, what a node
+//! knows goes before the copy: a configuration and a zone outage stay in effect, a
+//! missing target is removed only after the time in which it can register again, and
+//! a target that left stays removed until it writes to the restored store.
+
+use std::time::Duration;
+
+use celeryshore_model::Time;
+
+use super::Era;
+use super::Feed;
+use super::FeedAction;
+use super::FeedReport;
+use super::Item;
+use super::Section;
+
+/// Time after a restore within which operators write their lost changes again.
+const REWRITE_GRACE: Duration = Duration::from_secs(30);
+
+impl Feed {
+    /// Returns the era of a response of the store, or `None` if the response is from
+    /// an earlier era and must be ignored.
+    ///
+    /// A response without an era belongs to the latest known one. If the revision of
+    /// such a response is lower than one that was known when the read started, the
+    /// store has been restored since.
+    pub(super) fn response_era(
+        &mut self,
+        now: Time,
+        index: usize,
+        stated: Option<Era>,
+        number: u64,
+    ) -> Option<Era> {
+        let reader = &self.readers[index];
+        let (section, expected) = (reader.section(), reader.known_at_start());
+        let has_regressed = expected.era == self.era && number < expected.number;
+        let era = match stated {
+            Some(era) => era,
+            None if has_regressed => self.era.next(),
+            None => self.era,
+        };
+        if era < self.era {
+            let report = FeedReport::OutdatedResponse {
+                section,
+                era,
+                known: self.era,
+            };
+            self.actions.push(FeedAction::Report(report));
+            self.readers[index].require_list(now);
+            return None;
+        }
+        self.observe_era(now, era);
+        Some(era)
+    }
+
+    /// Records the era of data from the store or from a peer.
+    pub(super) fn observe_era(&mut self, now: Time, era: Era) {
+        if era <= self.era {
+            return;
+        }
+        let known = std::mem::replace(&mut self.era, era);
+        if self.confirmed_at.is_none() {
+            return;
+        }
+        self.restored_at = Some(now);
+        self.store_recovered_at = Some(now);
+        for reader in &mut self.readers {
+            reader.invalidate();
+        }
+        let report = FeedReport::StoreRestored { known, era };
+        self.actions.push(FeedAction::Report(report));
+    }
+
+    /// Returns `true` if a listed registration is older than what the node knows from
+    /// before the restore.
+    pub(super) fn is_outdated_copy(&self, section: Section, item: &Item) -> bool {
+        let known = self.catalog.item_revision(&item.key);
+        section == Section::Upstreams
+            && known.is_some_and(|known| {
+                known.era < item.revision.era && known.number >= item.revision.number
+            })
+    }
+
+    /// Returns `true` if an item that is missing from a list may have been lost in a
+    /// restore of the store.
+    pub(super) fn is_lost_in_restore(&self, now: Time, missing: &Item) -> bool {
+        let known = self.catalog.item_revision(&missing.key);
+        known.is_some_and(|known| known.era < missing.revision.era)
+            && self.restored_at.is_some_and(|at| now - at < REWRITE_GRACE)
+    }
+
+    /// Handles the removal of an item that may have been lost in a restore.
+    pub(super) fn defer_lost_item(&mut self, now: Time, section: Section, missing: Item) {
+        match section {
+            Section::Upstreams => self.apply_from_store(now, section, missing),
+            Section::Configuration => {
+                let report = FeedReport::ItemKept { key: missing.key };
+                self.actions.push(FeedAction::Report(report));
+            }
+        }
+    }
+}
--- a/crates/kernel/src/feed/section_reader.rs
+++ b/crates/kernel/src/feed/section_reader.rs
@@ -5,6 +5,7 @@
 
 use celeryshore_model::Time;
 
+use super::Era;
 use super::FetchFailure;
 use super::FetchId;
 use super::ItemKey;
@@ -41,6 +42,8 @@
     has_lost_history: bool,
     /// Start of the latest read.
     started_at: Option<Time>,
+    /// Revision up to which the section was known at the start of the latest read.
+    known_at_start: Revision,
     /// Earliest start of the next read.
     next_at: Time,
     backoff: Backoff,
@@ -73,13 +76,14 @@
 
 impl SectionReader {
     /// Creates a schedule whose first read is due at once.
-    pub(super) const fn new(section: Section) -> Self {
+    pub(super) fn new(section: Section) -> Self {
         Self {
             section,
             state: State::Idle,
             needs_list: true,
             has_lost_history: false,
             started_at: None,
+            known_at_start: Revision::default(),
             next_at: Time::ZERO,
             backoff: Backoff::new(MIN_BACKOFF, MAX_BACKOFF),
         }
@@ -95,6 +99,12 @@
         self.started_at
     }
 
+    /// Returns the revision up to which the section was known at the start of the
+    /// latest read.
+    pub(super) const fn known_at_start(&self) -> Revision {
+        self.known_at_start
+    }
+
     /// Returns `true` if the latest read failed.
     ///
     /// A response that the history is gone does not count as a failure.
@@ -134,8 +144,15 @@
     }
 
     /// Records the start of a read and returns its deadline.
-    pub(super) fn start(&mut self, now: Time, fetch: FetchId, next: &NextRead) -> Time {
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        fetch: FetchId,
+        next: &NextRead,
+        known: Revision,
+    ) -> Time {
         self.started_at = Some(now);
+        self.known_at_start = known;
         match next {
             NextRead::Page(_) => {
                 let list = ListProgress::default();
@@ -149,6 +166,30 @@
         }
     }
 
+    /// Records that the section is not known in the store's current era.
+    pub(super) const fn invalidate(&mut self) {
+        self.needs_list = true;
+    }
+
+    /// Ends the read in flight, whose response cannot be used, and requires a list.
+    ///
+    /// The store responds, so the list starts without a backoff, but no sooner after
+    /// the latest read than any other read.
+    pub(super) fn require_list(&mut self, now: Time) {
+        self.state = State::Idle;
+        self.needs_list = true;
+        self.has_lost_history = true;
+        self.schedule_next(now);
+    }
+
+    /// Returns `true` if earlier pages of the list in progress are from another era.
+    pub(super) fn has_pages_of_other_era(&self, era: Era) -> bool {
+        match &self.state {
+            State::Listing { list, .. } => list.revision.is_some_and(|r| r.era != era),
+            State::Idle | State::Watching { .. } => false,
+        }
+    }
+
     /// Adds a page to the list in progress.
     ///
     /// Returns the list if it is complete. Otherwise `fetch` becomes the read in
@@ -217,6 +258,10 @@
 
     fn record_success(&mut self, now: Time) {
         self.backoff.reset();
+        self.schedule_next(now);
+    }
+
+    fn schedule_next(&mut self, now: Time) {
         let min_interval = match self.section {
             Section::Configuration => MIN_CONFIGURATION_INTERVAL,
             Section::Upstreams => MIN_UPSTREAMS_INTERVAL,
--- a/crates/kernel/src/feed/status.rs
+++ b/crates/kernel/src/feed/status.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use serde_json::json;
 
+use super::Era;
 use super::Feed;
 use super::Revision;
 use super::Section;
@@ -26,6 +27,8 @@
     pub version: Version,
     /// Revisions up to which the sections are complete.
     pub revisions: [Revision; Section::ALL.len()],
+    /// Latest known era of the store.
+    pub era: Era,
     /// Number of reads of the store since the start of the process.
     pub store_reads: u64,
     /// Number of other nodes that are known.
@@ -48,6 +51,7 @@
             age: self.confirmed_at.map(|at| self.last_event_at - at),
             version: self.catalog.version(),
             revisions: Section::ALL.map(|section| self.catalog.revision(section)),
+            era: self.era,
             store_reads: self.store_reads,
             peers: self.peers.len(),
             pending_polls: self.pending_polls.len(),
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -138,7 +138,8 @@
         match choice {
             SourceChoice::Store => {
                 self.read_store(now);
-                if self.store_down_since.is_some() && self.outgoing_poll.is_none() {
+                let is_peer_needed = self.store_down_since.is_some() || self.is_first_poll_due();
+                if is_peer_needed && self.outgoing_poll.is_none() {
                     self.poll_any_peer(now);
                 }
             }
@@ -168,7 +169,8 @@
         for index in 0..self.readers.len() {
             let section = self.readers[index].section();
             let after = self.catalog.revision(section);
-            let has_revision = after.0 > 0 && !self.readers[index].has_lost_history();
+            let is_current = after.number > 0 && after.era == self.era;
+            let has_revision = is_current && !self.readers[index].has_lost_history();
             let Some(next) = self.readers[index].next_read(now, has_revision) else {
                 continue;
             };
@@ -177,7 +179,7 @@
             }
             let fetch = self.next_fetch();
             self.store_reads += 1;
-            let deadline = self.readers[index].start(now, fetch, &next);
+            let deadline = self.readers[index].start(now, fetch, &next, after);
             self.actions.push(match next {
                 NextRead::Page(after) => FeedAction::List {
                     fetch,
@@ -203,10 +205,18 @@
     fn is_initial_list_pending(&self) -> bool {
         self.readers
             .iter()
-            .any(|r| r.is_list_pending() && self.catalog.revision(r.section()).0 == 0)
+            .any(|r| r.is_list_pending() && self.catalog.revision(r.section()).number == 0)
     }
 
-    /// Polls a random peer while the store is unavailable.
+    /// Returns `true` if a node that reads the store has not polled a peer yet.
+    ///
+    /// The store may have been restored from an older copy before the node started.
+    /// The peers then know a newer configuration than the store.
+    fn is_first_poll_due(&self) -> bool {
+        !self.has_polled_peer && self.peers.len() > 0 && !self.is_initial_list_pending()
+    }
+
+    /// Polls a random peer while the store is unavailable, or once after the start.
     ///
     /// Nodes of another zone may still reach the store. A node that has just started
     /// polls one of its seeds, because it knows no peers.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -39,6 +39,7 @@
 pub use crate::feed::CatalogAnswer;
 pub use crate::feed::CatalogRequest;
 pub use crate::feed::Changes;
+pub use crate::feed::Era as StoreEra;
 pub use crate::feed::Feed;
 pub use crate::feed::FeedAction;
 pub use crate::feed::FeedConfig;
--- /dev/null
+++ b/crates/kernel/tests/feed/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the feed.
+
+mod restore;
+mod sources;
+mod support;
--- a/crates/wire/src/catalog.rs
+++ b/crates/wire/src/catalog.rs
@@ -10,6 +10,7 @@
 use celeryshore_kernel::Item;
 use celeryshore_kernel::ItemKey;
 use celeryshore_kernel::Position;
+use celeryshore_kernel::StoreEra;
 use celeryshore_kernel::StoreRevision;
 use celeryshore_kernel::StoreSection;
 use celeryshore_model::Incarnation;
@@ -74,8 +75,10 @@
             position: Some(answer.position.into()),
             age_micros: answer.age.map(micros),
             version: Some(answer.version.into()),
-            configuration_revision: configuration.0,
-            upstreams_revision: upstreams.0,
+            configuration_revision: configuration.number,
+            upstreams_revision: upstreams.number,
+            configuration_era: configuration.era.0,
+            upstreams_era: upstreams.era.0,
             is_whole: answer.is_whole,
             items: answer.items.into_iter().map(Into::into).collect(),
         }
@@ -92,8 +95,8 @@
             age: raw.age_micros.map(Duration::from_micros),
             version: version(raw.version)?,
             revisions: [
-                StoreRevision(raw.configuration_revision),
-                StoreRevision(raw.upstreams_revision),
+                StoreRevision::new(StoreEra(raw.configuration_era), raw.configuration_revision),
+                StoreRevision::new(StoreEra(raw.upstreams_era), raw.upstreams_revision),
             ],
             is_whole: raw.is_whole,
             items: items?,
@@ -110,7 +113,8 @@
         Self {
             section: section.into(),
             key: item.key.to_string(),
-            revision: item.revision.0,
+            revision: item.revision.number,
+            era: item.revision.era.0,
             value: item.value.map(compress),
         }
     }
@@ -124,7 +128,7 @@
     };
     let item = Item {
         key: ItemKey::new(&raw.key),
-        revision: StoreRevision(raw.revision),
+        revision: StoreRevision::new(StoreEra(raw.era), raw.revision),
         value: raw.value.map(decompress).transpose()?,
     };
     Ok((section, item))
--- a/crates/wire/tests/catalog.rs
+++ b/crates/wire/tests/catalog.rs
@@ -7,6 +7,7 @@
 use celeryshore_kernel::Item;
 use celeryshore_kernel::ItemKey;
 use celeryshore_kernel::Position;
+use celeryshore_kernel::StoreEra;
 use celeryshore_kernel::StoreRevision;
 use celeryshore_kernel::StoreSection;
 use celeryshore_model::Incarnation;
@@ -18,7 +19,7 @@
 fn answer(value: Option<Bytes>) -> CatalogAnswer {
     let item = Item {
         key: ItemKey::new("conf"),
-        revision: StoreRevision(8),
+        revision: StoreRevision::new(StoreEra(2), 8),
         value,
     };
     CatalogAnswer {
@@ -28,7 +29,7 @@
         },
         age: Some(Duration::from_millis(20)),
         version: Version::default(),
-        revisions: [StoreRevision(8), StoreRevision(9)],
+        revisions: [StoreRevision::from(8), StoreRevision::new(StoreEra(2), 9)],
         is_whole: true,
         items: vec![(StoreSection::Configuration, item)],
     }
