Accept counts of the platform that are fractions

Cause: the settings read the platform's counts as whole numbers. Factors of 0 and retry ratios above 1 were refused as well. Change: counts are rounded down, which never allows more than was stated; factors go from 0 to 1000.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,3 +42,4 @@
 pub use crate::settings::Seed;
 pub use crate::settings::Settings;
 pub use crate::settings::SettingsLimits;
+pub use crate::settings::SettingsTerms;
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -13,6 +13,7 @@
 const MAX_HEADER: ByteSize = ByteSize::new(8 * 1_024 - 1);
 const MAX_BODY: ByteSize = ByteSize::new(64 * 1_024 * 1_024);
 const MAX_THREADS: usize = 64;
+const MAX_FACTOR: f64 = 1_000.0;
 
 /// Validates settings that have been deserialized.
 pub(super) fn check(settings: &Settings) -> Result<()> {
@@ -74,20 +75,14 @@
 
 fn check_terms(settings: &Settings) -> Result<()> {
     let terms = &settings.terms;
-    if terms
-        .cold_load
-        .is_some_and(|factor| factor <= 0.0 || factor.is_nan())
-    {
-        return Err(Error::invalid_value("terms.cold_load", "a factor above 0"));
-    }
-    if terms
-        .retry_ratio
-        .is_some_and(|ratio| !(0.0..=1.0).contains(&ratio))
-    {
-        return Err(Error::invalid_value(
-            "terms.retry_ratio",
-            "a ratio from 0 to 1",
-        ));
+    let factors = [
+        ("terms.cold_load", terms.cold_load),
+        ("terms.retry_ratio", terms.retry_ratio),
+    ];
+    for (key, factor) in factors {
+        if factor.is_some_and(|f| !(0.0..=MAX_FACTOR).contains(&f)) {
+            return Err(Error::invalid_value(key, "a factor from 0 to 1000"));
+        }
     }
     Ok(())
 }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -5,6 +5,7 @@
 
 mod check;
 mod limits;
+mod number;
 mod port;
 
 use std::collections::BTreeMap;
@@ -125,15 +126,15 @@
     /// Factor on the rate that a target states for its cold start; 1 if absent.
     #[serde(default)]
     pub cold_load: Option<f64>,
-    /// Additional requests per second during a cold start; 0 if absent.
-    #[serde(default)]
+    /// Additional requests per second during a cold start, rounded down; 0 if absent.
+    #[serde(default, deserialize_with = "number::whole")]
     pub cold_slack: Option<u32>,
     /// Retries as a share of first attempts; the service's policy if absent.
     #[serde(default)]
     pub retry_ratio: Option<f64>,
-    /// Retries of a service beyond that share, for all nodes together. If absent, there
-    /// is no limit across nodes.
-    #[serde(default)]
+    /// Retries of a service beyond that share, for all nodes together, rounded down. If
+    /// absent, there is no limit across nodes.
+    #[serde(default, deserialize_with = "number::whole")]
     pub retry_slack: Option<u32>,
 }
 
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -7,6 +7,7 @@
 
 use celeryshore_node::Category;
 use celeryshore_node::Settings;
+use celeryshore_node::SettingsTerms;
 
 use crate::support;
 use crate::support::Vm;
@@ -46,6 +47,32 @@
     assert_eq!(settings.threads, 1);
 }
 
+/// Platforms state counts as fractions, and leave out what does not apply.
+#[test]
+fn platform_numbers() {
+    let terms = |text: &str| {
+        let settings: Settings = settings_text(text).parse().unwrap();
+        settings.terms
+    };
+    let fractions = terms(
+        "terms: {cold_load: 1, cold_slack: 5.7, retry_ratio: 2e-1, retry_slack: 30.714285714285715}\n",
+    );
+    assert_eq!(fractions.cold_slack, Some(5));
+    assert_eq!(fractions.retry_slack, Some(30));
+    assert_eq!(fractions.retry_ratio, Some(0.2));
+    let exponents = terms("terms: {cold_slack: 1e1, retry_slack: 4.3e+2}\n");
+    assert_eq!(exponents.cold_slack, Some(10));
+    assert_eq!(exponents.retry_slack, Some(430));
+    let zeros = terms("terms: {cold_load: 0, cold_slack: 0.0, retry_ratio: 0.0, retry_slack: 0}\n");
+    assert_eq!(zeros.cold_load, Some(0.0));
+    assert_eq!(zeros.retry_slack, Some(0));
+    let absent = terms("terms:\n  cold_load: \n  cold_slack: \n  retry_ratio: \n  retry_slack: \n");
+    assert_eq!(absent, SettingsTerms::default());
+    for invalid in ["retry_slack: -1", "cold_slack: .inf", "retry_slack: 5e9"] {
+        parse_error(&settings_text(&format!("terms: {{{invalid}}}\n")));
+    }
+}
+
 #[test]
 fn unknown_key() {
     let err = parse_error(&settings_text("colour: blue\n"));
