Let downloads run more than once, and log kinds that are not known

Callers whose download was lost got 502 or 504 at once: it was never sent again, though its kind may run more than once.

Cause: the adapter read every kind but 'safe' as at most once and left no trace of the word. Change: 'download' is a semantics of the product, in rules files and on the platform; the code asks is_repeatable(). Other words run at most once, with one log line for each configuration in which the word is new, and a counter by word.

--- a/crates/kernel/src/feed/event.rs
+++ b/crates/kernel/src/feed/event.rs
@@ -196,6 +196,12 @@
         /// Key of the item.
         key: ItemKey,
     },
+    /// A configuration has kinds whose semantics the adapter doesn't know.
+    #[display("kinds with unknown semantics {semantics:?} run at most once")]
+    UnknownSemantics {
+        /// The word that the platform uses.
+        semantics: String,
+    },
     /// An item cannot be decoded. A previous configuration stays in effect; any other
     /// previous value is no longer used.
     #[display("item {key} at revision {revision} refused: {problem}")]
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use celeryshore_model::Snapshot;
 use celeryshore_model::Time;
 
 use super::CatalogAnswer;
@@ -65,12 +66,24 @@
             && !compile::is_same(self.snapshot.as_ref(), &snapshot)
         {
             let snapshot = Arc::new(snapshot);
+            self.report_unknown_semantics(&snapshot);
             self.snapshot = Some(snapshot.clone());
             self.actions.push(FeedAction::Configured(snapshot));
         }
         self.update_own_record();
     }
 
+    /// Reports the unknown semantics that the configuration in effect does not have.
+    fn report_unknown_semantics(&mut self, new: &Snapshot) {
+        let known = self.snapshot.as_ref().map(|s| &s.unknown_semantics);
+        let added = new.unknown_semantics.iter();
+        let added = added.filter(|word| known.is_none_or(|k| !k.contains(*word)));
+        let reports = added.map(|word| FeedReport::UnknownSemantics {
+            semantics: word.clone(),
+        });
+        self.actions.extend(reports.map(FeedAction::Report));
+    }
+
     fn update_own_record(&mut self) {
         let own = compile::own_record(&self.catalog, &self.cfg.vm).cloned();
         if own == self.own_record {
--- a/crates/kernel/src/requests/admission/check.rs
+++ b/crates/kernel/src/requests/admission/check.rs
@@ -1,6 +1,5 @@
 //! Checks of a forwarded request before it asks for a slot.
 
-use celeryshore_model::Semantics;
 use celeryshore_model::Upstream;
 use celeryshore_model::UpstreamState;
 
@@ -67,7 +66,7 @@
 fn check_kind(cx: &Context<'_>, handover: &Handover) -> Result<()> {
     let kind = cx.view.kind(&handover.kind).ok_or(NotRun::NotHere)?;
     let is_repeatable = handover.delivery == Delivery::Repeatable;
-    if is_repeatable != (kind.semantics == Semantics::Idempotent) {
+    if is_repeatable != kind.semantics.is_repeatable() {
         return Err(NotRun::NotHere);
     }
     let limits = cx.view.own_limits().ok_or(NotRun::NotHere)?;
--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -285,13 +285,13 @@
 }
 
 fn earlier_send(semantics: Semantics, request: &HttpRequest) -> Option<Unknown> {
-    let is_keyed = semantics == Semantics::AtMostOnce;
+    let is_keyed = !semantics.is_repeatable();
     let may_have_run = is_keyed && Resend::of(request) != Resend::No;
     may_have_run.then_some(Unknown::NotJudged)
 }
 
 fn delivery(semantics: Semantics, request: &HttpRequest) -> Result<Delivery> {
-    if semantics == Semantics::Idempotent {
+    if semantics.is_repeatable() {
         return Ok(Delivery::Repeatable);
     }
     let Some(value) = request.header(headers::KEY) else {
--- a/crates/kernel/tests/retries.rs
+++ b/crates/kernel/tests/retries.rs
@@ -11,6 +11,7 @@
 use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::Unknown;
+use celeryshore_model::Semantics;
 use celeryshore_model::Share;
 use celeryshore_model::Slots;
 
@@ -83,6 +84,22 @@
     assert_eq!(mesh.history.len(), 2);
 }
 
+#[test]
+fn lost_download() {
+    let mut snapshot = ordering(&["perth", "perth", "perth"]);
+    tune(&mut snapshot, |s| {
+        let stock = s.kinds.get_mut(&"stock".parse().expect("valid kind"));
+        stock.expect("kind").semantics = Semantics::Download;
+    });
+    let mut mesh = Mesh::new(&Arc::new(snapshot));
+    let call = mesh.call("vm-1", stock());
+    let vm = mesh.runs[0].vm.clone();
+    mesh.kill(vm.as_str());
+    mesh.answer("40");
+    assert!(matches!(mesh.answers[&call], Answer::Response(_)));
+    assert_eq!(mesh.history.len(), 2);
+}
+
 #[test]
 fn refused_retry() {
     let mut mesh = mesh();
--- a/crates/model/src/snapshot.rs
+++ b/crates/model/src/snapshot.rs
@@ -41,6 +41,10 @@
     pub outages: Outages,
     /// Limits on callers; if absent, the settings of the node apply.
     pub callers: Option<CallerLimits>,
+    /// Words for the semantics of kinds that the platform's adapter doesn't know.
+    /// Requests of these kinds run at most once.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    pub unknown_semantics: BTreeSet<String>,
 }
 
 /// Limits on the size and the duration of callers' requests.
@@ -151,11 +155,34 @@
     /// The request may run more than once without further effect.
     #[display("idempotent")]
     Idempotent,
+    /// The request may run more than once, and its response is large.
+    #[display("download")]
+    Download,
     /// The request must run at most once.
     #[display("at-most-once")]
     AtMostOnce,
 }
 
+impl Semantics {
+    /// Returns `true` if a request may run more than once.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use celeryshore_model::Semantics;
+    ///
+    /// assert!(Semantics::Download.is_repeatable());
+    /// assert!(!Semantics::AtMostOnce.is_repeatable());
+    /// ```
+    #[must_use]
+    pub const fn is_repeatable(self) -> bool {
+        match self {
+            Self::Idempotent | Self::Download => true,
+            Self::AtMostOnce => false,
+        }
+    }
+}
+
 /// A kind of request within a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Kind {
--- a/crates/node/src/driver/feed.rs
+++ b/crates/node/src/driver/feed.rs
@@ -16,6 +16,10 @@
 use super::Pending;
 use crate::control::Store;
 
+/// Number of configurations in which a word for the semantics of kinds is new and not
+/// known to the adapter.
+const UNKNOWN_SEMANTICS: &str = "celeryshore_unknown_semantics_total";
+
 impl Driver {
     /// Passes a peer's long poll to the kernel. The receiver yields the answer.
     pub(crate) fn receive_poll(
@@ -114,8 +118,13 @@
     }
 
     fn log_feed_report(&self, report: &FeedReport) {
+        if let FeedReport::UnknownSemantics { semantics } = report {
+            metrics::counter!(UNKNOWN_SEMANTICS, "semantics" => semantics.clone()).increment(1);
+        }
         match report {
-            FeedReport::StoreFailed { .. } | FeedReport::ItemRefused { .. } => {
+            FeedReport::UnknownSemantics { .. }
+            | FeedReport::StoreFailed { .. }
+            | FeedReport::ItemRefused { .. } => {
                 slog::warn!(self.log, "feed: {}", report);
             }
             _ => slog::info!(self.log, "feed: {}", report),
--- a/crates/rules/src/kind.rs
+++ b/crates/rules/src/kind.rs
@@ -15,7 +15,7 @@
 inventory::submit! {
     RuleKind {
         keyword: "kind",
-        usage: "kind SERVICE/NAME semantics=idempotent|at-most-once deadline=TIME",
+        usage: "kind SERVICE/NAME semantics=idempotent|download|at-most-once deadline=TIME",
         keys: Keys::Only(&["semantics", "deadline"]),
         parse,
     }
--- a/crates/rules/src/value.rs
+++ b/crates/rules/src/value.rs
@@ -67,7 +67,7 @@
 impl Value for Semantics {
     fn parse(text: &str) -> Result<Self> {
         text.parse()
-            .map_err(|_| Expected("`idempotent` or `at-most-once`"))
+            .map_err(|_| Expected("`idempotent`, `download` or `at-most-once`"))
     }
 }
 
--- a/crates/rules/tests/parse.rs
+++ b/crates/rules/tests/parse.rs
@@ -135,7 +135,7 @@
     mesh.rules:21:30: expected at most as many cold slots as slots, found "3"
     mesh.rules:22:20: expected `connections=`, found no such key
     mesh.rules:23:6: expected SERVICE/NAME, found "ordering"
-    mesh.rules:24:27: expected `idempotent` or `at-most-once`, found "sometimes"
+    mesh.rules:24:27: expected `idempotent`, `download` or `at-most-once`, found "sometimes"
     mesh.rules:24:46: expected a duration such as 500ms or 2s, at most 1h, found "0s"
     mesh.rules:25:30: expected a count from 1 to 10, found "0"
     mesh.rules:25:39: expected a share such as 10% or 2.5%, at most 100%, found "200%"
