Wait for a reply between nodes as long as bytes of it arrive

Callers of large downloads got 504 although the target's answer was ready: a reply that took the link longer than a second counted as silence, and all idle connections to its node were closed.

Cause: the time without progress was measured over the whole frame. Evidence: forwarding::slow_reply (a frame in four parts, 0.4 s apart) gets an empty 502 on the code before. Change: each part that arrives starts the second anew; the deadline of the request still ends it. Parts of 16 KiB instead of 4 take fewer reads.

--- a/crates/node/src/peers/framed_stream.rs
+++ b/crates/node/src/peers/framed_stream.rs
@@ -13,7 +13,7 @@
 use crate::net;
 use crate::net::Stream;
 
-const READ_BYTES: usize = 4 * 1_024;
+const READ_BYTES: usize = 16 * 1_024;
 /// Longest body that settings allow (64 MiB), and 1 MiB for the header.
 const MAX_FRAME: FrameLimit = FrameLimit(ByteSize::new(65 * 1_024 * 1_024));
 
@@ -23,6 +23,16 @@
     buf: BytesMut,
 }
 
+/// Result of one read of a frame.
+pub(super) enum Part {
+    /// The frame is complete.
+    Frame(Bytes),
+    /// Some bytes of the frame arrived.
+    Bytes,
+    /// The connection ended before the frame.
+    End,
+}
+
 impl FramedStream {
     pub(super) fn new(stream: Stream) -> Self {
         let buf = BytesMut::new();
@@ -37,18 +47,33 @@
     /// Reads a complete frame; returns `None` if the connection ends before it.
     pub(super) async fn read(&mut self) -> Result<Option<Bytes>> {
         loop {
-            let size = celeryshore_wire::frame_size(&self.buf, MAX_FRAME)?;
-            if let Some(size) = size
-                && self.buf.len() >= size
-            {
-                return Ok(Some(self.buf.split_to(size).freeze()));
-            }
-            if self.fill().await? == 0 {
-                return self.end_of_stream();
+            match self.read_part().await? {
+                Part::Frame(frame) => return Ok(Some(frame)),
+                Part::Bytes => {}
+                Part::End => return Ok(None),
             }
         }
     }
 
+    /// Returns the next frame if it is complete, or reads some bytes of it.
+    ///
+    /// Cancel-safe: bytes that were read are kept.
+    pub(super) async fn read_part(&mut self) -> Result<Part> {
+        let size = celeryshore_wire::frame_size(&self.buf, MAX_FRAME)?;
+        if let Some(size) = size
+            && self.buf.len() >= size
+        {
+            return Ok(Part::Frame(self.buf.split_to(size).freeze()));
+        }
+        if self.fill().await? > 0 {
+            return Ok(Part::Bytes);
+        }
+        if self.buf.is_empty() {
+            return Ok(Part::End);
+        }
+        Err(Protocol::Closed.into())
+    }
+
     /// Waits until the other end closes the connection or sends bytes, which it must
     /// not do before it has the reply.
     pub(super) async fn interrupted(&mut self) {
@@ -68,11 +93,4 @@
     async fn fill(&mut self) -> io::Result<usize> {
         net::read_available(&self.stream, &mut self.buf, READ_BYTES).await
     }
-
-    fn end_of_stream(&self) -> Result<Option<Bytes>> {
-        if self.buf.is_empty() {
-            return Ok(None);
-        }
-        Err(Protocol::Closed.into())
-    }
 }
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/outbound.rs
@@ -17,6 +17,7 @@
 
 use crate::net;
 use crate::peers::framed_stream::FramedStream;
+use crate::peers::framed_stream::Part;
 use crate::peers::pool::PeerPool;
 use crate::timers::Timers;
 
@@ -149,12 +150,20 @@
     }
 }
 
+/// Reads a reply as long as bytes of it arrive; a large one takes a slow link seconds.
 async fn read_reply(
     timers: &Timers,
     stream: &mut FramedStream,
 ) -> std::result::Result<ReplyFrame, Failure> {
-    let read = timers.timeout(PROGRESS_TIMEOUT, stream.read()).await;
-    let frame = read.ok_or(Failure::Silent)?.map_err(|_| Failure::Broken)?;
-    let frame = frame.ok_or(Failure::Broken)?;
-    ReplyFrame::decode(frame).map_err(|_| Failure::Broken)
+    loop {
+        let read = timers.timeout(PROGRESS_TIMEOUT, stream.read_part()).await;
+        let part = read.ok_or(Failure::Silent)?.map_err(|_| Failure::Broken)?;
+        match part {
+            Part::Frame(frame) => {
+                return ReplyFrame::decode(frame).map_err(|_| Failure::Broken);
+            }
+            Part::Bytes => {}
+            Part::End => return Err(Failure::Broken),
+        }
+    }
 }
--- a/crates/node/tests/forwarding.rs
+++ b/crates/node/tests/forwarding.rs
@@ -149,6 +149,21 @@
     assert_eq!(get_stock(vm).body, "slow");
 }
 
+/// A reply that takes a slow link longer than a silent peer is waited for.
+#[test]
+fn slow_reply() {
+    let (_node, vm, _peer) = node(|mut peer| {
+        while let Some(request) = peer.receive() {
+            let frame = support::reply_frame(&request, "whole").encode();
+            for part in frame.chunks(frame.len().div_ceil(4)) {
+                thread::sleep(Duration::from_millis(400));
+                let _ = peer.stream.write_all(part);
+            }
+        }
+    });
+    assert_eq!(get_stock(vm).body, "whole");
+}
+
 #[test]
 fn connection_refused() {
     let (vm, peer_vm) = (Vm::next(), Vm::next());
