Keep downloads in their zone while it can serve them in time

Cause: the choice of a target did not know the size of responses. Change: a kind whose responses are usually large, or that is a download, goes to another zone only when the own one would answer late. Among targets, the reported wait for the link counts. Evidence: large_responses::own_zone; with the limit of small requests the fourth download leaves its zone.

--- a/crates/kernel/src/requests/forwarding/balancer.rs
+++ b/crates/kernel/src/requests/forwarding/balancer.rs
@@ -223,13 +223,20 @@
         let spillover_wait = call.spillover_wait().filter(|_| distance == Distance::Zone);
         let load = self.loads.get(&upstream.name).copied().unwrap_or_default();
         let is_suspect = cx.view.member(&upstream.vm) == MemberState::Suspect;
+        let link_wait = if call.is_large {
+            load.link_wait(now)
+        } else {
+            Duration::ZERO
+        };
+        let is_link_free = call.spillover_wait().is_none_or(|wait| link_wait <= wait);
+        let has_slot = load.has_room(now, defaults, cx.view.zone_size(&upstream.zone))
+            || spillover_wait.is_some_and(|wait| load.wait(now, defaults) <= wait);
         Candidate {
             upstream,
             distance,
             is_unhealthy: is_suspect || load.is_avoided(now),
-            has_room: load.has_room(now, defaults, cx.view.zone_size(&upstream.zone))
-                || spillover_wait.is_some_and(|wait| load.wait(now, defaults) <= wait),
-            cost: load.cost(now, defaults) + distance.penalty(),
+            has_room: is_link_free && has_slot,
+            cost: load.cost(now, defaults).max(link_wait) + distance.penalty(),
         }
     }
 }
--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -180,9 +180,16 @@
 
     /// Returns the wait for a slot after which another upstream is preferable, if the
     /// kind has a target latency.
+    ///
+    /// Load pattern: large responses, whose bytes are dear between zones. They stay in
+    /// their zone as long as they can come in time there.
     pub(super) fn spillover_wait(&self) -> Option<Duration> {
-        self.target_latency
-            .map(|latency| latency / SPILLOVER_WAIT_DIVISOR)
+        let divisor = if self.is_large {
+            MAX_WAIT_DIVISOR
+        } else {
+            SPILLOVER_WAIT_DIVISOR
+        };
+        self.target_latency.map(|latency| latency / divisor)
     }
 
     /// Returns the wait for a slot beyond which the response would be late, less the
--- a/crates/kernel/src/requests/forwarding/upstream_load.rs
+++ b/crates/kernel/src/requests/forwarding/upstream_load.rs
@@ -197,6 +197,13 @@
         run + self.wait(now, defaults)
     }
 
+    /// Returns the reported time until the link has sent all large responses, less the
+    /// age of the report.
+    pub(super) fn link_wait(&self, now: Time) -> Duration {
+        let age = self.reported_at.map_or(Duration::ZERO, |at| now - at);
+        self.report.link_wait.saturating_sub(age)
+    }
+
     /// Returns the expected service time of one more request.
     ///
     /// Load pattern: targets that join or are replaced one after the other. A target
--- a/crates/kernel/tests/large_responses.rs
+++ b/crates/kernel/tests/large_responses.rs
@@ -98,3 +98,31 @@
         "small responses do not wait"
     );
 }
+
+/// Load pattern: downloads that the own zone serves later than at once, but in time. A
+/// small request goes to another zone then, a download does not.
+#[test]
+fn own_zone() {
+    let mut mesh = mesh(downloads(&["glasgow", "glasgow", "perth"]));
+    for _ in 0..3 {
+        mesh.call("vm-1", stock());
+        finish_all(&mut mesh);
+        mesh.advance(1_000);
+    }
+    let before = mesh.history.len();
+    for _ in 0..4 {
+        mesh.call("vm-1", stock());
+        finish_all(&mut mesh);
+    }
+    let vms: Vec<_> = mesh.history[before..].iter().map(|run| &run.vm).collect();
+    assert!(vms.iter().all(|vm| vm.as_str() != "vm-3"), "{vms:?}");
+    for _ in 0..12 {
+        mesh.call("vm-1", stock());
+        finish_all(&mut mesh);
+    }
+    let mut later = mesh.history[before..].iter();
+    assert!(
+        later.any(|run| run.vm.as_str() == "vm-3"),
+        "another zone serves what the own zone cannot serve in time"
+    );
+}
