Let own_zone fail with the wait of small requests

With the limit of small requests the fifth one leaves its zone (run: own_zone FAILED), with that of large ones the sixth.

--- a/crates/kernel/tests/large_responses.rs
+++ b/crates/kernel/tests/large_responses.rs
@@ -110,7 +110,7 @@
         mesh.advance(1_000);
     }
     let before = mesh.history.len();
-    for _ in 0..4 {
+    for _ in 0..5 {
         mesh.call("vm-1", stock());
         finish_all(&mut mesh);
     }
