Bound the bytes of a response that are neither header nor body

A target that sent empty lines, interim responses, chunk extensions or a trailer without end held its connection, its slot and processor time until the deadline of the request, and its caller waited as long. A peer could do the same with frames that say that a reply is outstanding.

Cause: only headers, lines and bodies were limited, not what may be repeated between them. Change: empty lines count towards the header limit, interim responses share one, the framing of chunks is limited by the body that they bring, a trailer has 8 KiB, four responses to other requests are skipped on a connection, and frames that only report progress may come four times as fast as nodes send them.

--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -15,8 +15,11 @@
 const READ_BYTES: usize = 4 * 1_024;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const LINE_END: &[u8] = b"\r\n";
-/// Longest line with a chunk size, and longest line of a trailer.
+/// Longest line with a chunk size, and longest trailer.
 const MAX_LINE_BYTES: usize = 8 * 1_024;
+/// Bytes that the framing of a chunked body may take beyond [`MAX_LINE_BYTES`], for each
+/// byte of the body. Chunks of one byte take five.
+const MAX_FRAMING_PER_BYTE: u64 = 8;
 
 /// Longest header and body that are read.
 #[derive(Clone, Copy, Debug)]
@@ -73,15 +76,16 @@
     }
 
     /// Reads a header up to and including its empty line; returns `None` if the
-    /// connection ends before it.
+    /// connection ends before it. Empty lines before it count towards the limit.
     pub(super) async fn read_head(&mut self, limit: ByteSize) -> Result<Option<Bytes>> {
         let mut searched = 0;
+        let mut skipped = 0;
         loop {
-            self.skip_empty_lines();
+            skipped += self.skip_empty_lines();
             if let Some(at) = find_head_end(&self.buf, searched) {
                 return Ok(Some(self.buf.split_to(at + HEAD_END.len()).freeze()));
             }
-            if self.buf.len() as u64 > limit.get() {
+            if (skipped + self.buf.len()) as u64 > limit.get() {
                 return Err(Protocol::HeadLength.into());
             }
             searched = self.buf.len();
@@ -106,11 +110,18 @@
         Ok(self.buf.split_to(length).freeze())
     }
 
-    /// Reads a chunked body and skips its trailer.
+    /// Reads a chunked body and skips its trailer. The length of its framing is limited
+    /// by that of the body.
     pub(super) async fn read_chunked_body(&mut self, limit: ByteSize) -> Result<Bytes> {
         let mut body = BytesMut::new();
+        let mut framing = 0;
         loop {
-            let size = chunk_size(&self.read_line().await?)?;
+            let line = self.read_line().await?;
+            let size = chunk_size(&line)?;
+            framing += line.len() as u64;
+            if framing > MAX_LINE_BYTES as u64 + MAX_FRAMING_PER_BYTE * body.len() as u64 {
+                return Err(Protocol::HeadLength.into());
+            }
             if body.len() as u64 + size > limit.get() {
                 return Err(Protocol::BodyLength.into());
             }
@@ -122,10 +133,24 @@
                 return Err(Protocol::Head.into());
             }
         }
-        while !self.read_line().await?.is_empty() {}
+        self.skip_trailer().await?;
         Ok(body.freeze())
     }
 
+    async fn skip_trailer(&mut self) -> Result<()> {
+        let mut skipped = 0;
+        loop {
+            let line = self.read_line().await?;
+            if line.is_empty() {
+                return Ok(());
+            }
+            skipped += line.len() + LINE_END.len();
+            if skipped > MAX_LINE_BYTES {
+                return Err(Protocol::HeadLength.into());
+            }
+        }
+    }
+
     /// Reads a body that ends when the connection is closed. A reset is an error.
     pub(super) async fn read_to_end(&mut self, limit: ByteSize) -> Result<Bytes> {
         while self.fill().await? > 0 {
@@ -157,10 +182,12 @@
         net::read_available(&self.stream, &mut self.buf, READ_BYTES).await
     }
 
-    fn skip_empty_lines(&mut self) {
-        while self.buf.starts_with(b"\r\n") {
-            let _ = self.buf.split_to(2);
-        }
+    /// Skips empty lines and returns the number of their bytes.
+    fn skip_empty_lines(&mut self) -> usize {
+        let lines = self.buf.chunks_exact(LINE_END.len());
+        let skipped = LINE_END.len() * lines.take_while(|line| *line == LINE_END).count();
+        let _ = self.buf.split_to(skipped);
+        skipped
     }
 
     fn end_of_stream(&self) -> Result<Option<Bytes>> {
--- a/crates/node/src/http/response.rs
+++ b/crates/node/src/http/response.rs
@@ -3,6 +3,7 @@
 use async_h1::client;
 use async_h1::server::Encoder;
 use bytes::Bytes;
+use celeryshore_model::ByteSize;
 use celeryshore_model::HttpResponse;
 use futures_lite::AsyncReadExt;
 use http_types::Body;
@@ -45,17 +46,20 @@
     Ok((decode(text, body).await?, is_reusable))
 }
 
-/// Reads the header of the final response and skips interim ones.
+/// Reads the header of the final response and skips interim ones. The limit applies to
+/// all of them together.
 async fn read_final_head(conn: &mut Connection, limits: MessageLimits) -> Result<(Bytes, u16)> {
+    let mut left = limits.header.get();
     loop {
         let text = conn
-            .read_head(limits.header)
+            .read_head(ByteSize::new(left))
             .await?
             .ok_or(Protocol::Closed)?;
         let status = status(&text).ok_or(Protocol::Head)?;
         if status >= OK {
             return Ok((text, status));
         }
+        left = left.saturating_sub(text.len() as u64);
     }
 }
 
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/outbound.rs
@@ -25,6 +25,12 @@
 /// is outstanding, peers send a frame more often than this.
 pub(super) const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Shortest mean time between two frames that only say that the reply is outstanding; a
+/// quarter of the interval at which nodes send them.
+const MIN_WORKING_INTERVAL: Duration = Duration::from_millis(60);
+/// Number of such frames that may arrive earlier, after a delay on the way.
+const MAX_EARLY_WORKING: u128 = 16;
+
 /// Result of an exchange: the reply, or how much of the request was sent.
 type Result<T> = std::result::Result<T, Progress>;
 
@@ -142,11 +148,17 @@
     written
         .ok_or(Failure::Silent)?
         .map_err(|_| Failure::Broken)?;
+    let start = Instant::now();
+    let mut working = 0;
     loop {
         match read_reply(timers, stream).await? {
-            ReplyFrame::Working => {}
+            ReplyFrame::Working => working += 1,
             reply => return Ok(reply),
         }
+        let expected = start.elapsed().as_millis() / MIN_WORKING_INTERVAL.as_millis();
+        if working > MAX_EARLY_WORKING + expected {
+            return Err(Failure::Broken);
+        }
     }
 }
 
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -33,6 +33,8 @@
 use crate::http::MessageLimits;
 use crate::timers::Timers;
 
+/// Number of responses to earlier requests that are skipped on one connection.
+const MAX_STALE_RESPONSES: u32 = 4;
 const HEADER_LIMIT: ByteSize = ByteSize::new(8 * 1_024 - 1);
 
 /// Limits on the connections to the target and on its responses.
@@ -115,9 +117,14 @@
         };
         let is_written = write(&conn, bytes).await?;
         let is_head = request.method == "HEAD";
+        let mut stale = 0;
         loop {
             let (response, is_reusable) = http::read_response(&mut conn, limits, is_head).await?;
             if self.is_stale_response(request, &response) {
+                stale += 1;
+                if stale > MAX_STALE_RESPONSES {
+                    return Err(Protocol::Stale.into());
+                }
                 continue;
             }
             self.check_signature(request, &response)?;
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod control;
 mod drain;
+mod endless_bytes;
 mod forwarding;
 mod large_answers;
 mod log_lines;
