Bound the memory of all large bodies together

On the platform nothing limits a target's response, and each body could take 64 MiB in a process of 160 MB: a hundred large responses, or one without end whose target is fast, would have cost the process and every request in it.

Cause: bodies were limited one by one. Change: the settings name the memory of the process; a quarter of it is for bodies over 16 KiB, which are counted while they are read, held and written. A response that does not fit is dropped and reported as unknown, and is no sign against its target. Sizes and rates in settings may be fractions; zero or nothing means that they are not known.

--- a/crates/kernel/src/requests/admission/crash.rs
+++ b/crates/kernel/src/requests/admission/crash.rs
@@ -59,7 +59,7 @@
         let blames_lost_responses =
             cx.view.cfg().terms.crash_evidence == CrashEvidence::LostResponse;
         match outcome {
-            Outcome::Answered(_) => cx.suspect_requests.clear(&fingerprint),
+            Outcome::Answered(_) | Outcome::Discarded => cx.suspect_requests.clear(&fingerprint),
             Outcome::Broken | Outcome::Silent if blames_lost_responses => {
                 let own = [cx.view.cfg().vm.clone()];
                 cx.suspect_requests.record(cx.now.mono, fingerprint, &own);
--- a/crates/kernel/src/requests/admission/observe.rs
+++ b/crates/kernel/src/requests/admission/observe.rs
@@ -35,7 +35,7 @@
             }
             Outcome::Answered(response) if headers::is_shed(response) => Observation::Overloaded,
             Outcome::Answered(response) if headers::is_failure(response) => Observation::Failed,
-            Outcome::Answered(_) => Observation::Answered {
+            Outcome::Answered(_) | Outcome::Discarded => Observation::Answered {
                 kind: &work.handover.kind,
                 elapsed: now - since,
                 running: self.scheduler.running(),
@@ -58,6 +58,6 @@
         Outcome::Answered(response) if headers::is_not_run(dialect, response) => RunEnd::Shed,
         Outcome::Answered(response) if headers::is_failure(response) => RunEnd::Failed,
         Outcome::Answered(_) => RunEnd::Answered,
-        Outcome::NeverSent | Outcome::Broken | Outcome::Silent => RunEnd::Lost,
+        Outcome::NeverSent | Outcome::Broken | Outcome::Silent | Outcome::Discarded => RunEnd::Lost,
     }
 }
--- a/crates/kernel/src/requests/admission/outcome.rs
+++ b/crates/kernel/src/requests/admission/outcome.rs
@@ -28,6 +28,7 @@
         Outcome::Answered(response) => ReplyOutcome::Answered(response),
         Outcome::NeverSent => Refusal::new(NotRun::TargetDown).into(),
         Outcome::Broken | Outcome::Silent => ReplyOutcome::Unknown(Unknown::TargetLost),
+        Outcome::Discarded => ReplyOutcome::Unknown(Unknown::AnswerGone),
     }
 }
 
@@ -37,7 +38,7 @@
         Outcome::Answered(response) if headers::is_not_run(dialect, response) => KeyOutcome::NotRun,
         Outcome::Answered(response) => KeyOutcome::Done(response.clone()),
         Outcome::NeverSent => KeyOutcome::NotRun,
-        Outcome::Broken | Outcome::Silent => KeyOutcome::Lost,
+        Outcome::Broken | Outcome::Silent | Outcome::Discarded => KeyOutcome::Lost,
     }
 }
 
--- a/crates/kernel/src/requests/event.rs
+++ b/crates/kernel/src/requests/event.rs
@@ -160,6 +160,8 @@
     Broken,
     /// The connection stayed open, but the target made no progress in time.
     Silent,
+    /// The target responded, but the node has no memory to hold the response.
+    Discarded,
 }
 
 /// An output of the request state machine, for the driver to execute.
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -237,6 +237,7 @@
 
     async fn send(&self, stream: &Stream, bytes: &[u8]) -> Result<()> {
         let driver = &self.callers.driver;
+        let _held = driver.memory.hold(bytes.len());
         let write = async {
             let ticket = driver.uplink.ticket(bytes.len());
             let Some((ticket, size)) = ticket.zip(driver.uplink.part_size()) else {
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -84,7 +84,9 @@
         };
         match callers.tracker.track(callers.limits.connections) {
             Some(guard) => {
-                let served = serve(callers.clone(), Connection::new(stream), guard);
+                let memory = callers.driver.memory.clone();
+                let conn = Connection::new(stream).with_memory(memory);
+                let served = serve(callers.clone(), conn, guard);
                 callers.driver.spawn(served);
             }
             None => callers
--- a/crates/node/src/callers/refusal.rs
+++ b/crates/node/src/callers/refusal.rs
@@ -26,6 +26,9 @@
     /// The request was not received completely in time.
     #[display("timeout")]
     Timeout,
+    /// The bodies that the node holds leave no memory for another one.
+    #[display("memory")]
+    Memory,
     /// The limit on open connections is reached.
     #[display("connections")]
     Connections,
@@ -38,6 +41,7 @@
         match err.protocol() {
             Some(Protocol::HeadLength) => Some(Self::Header),
             Some(Protocol::BodyLength) => Some(Self::Body),
+            Some(Protocol::Memory) => Some(Self::Memory),
             Some(Protocol::Timeout) => Some(Self::Timeout),
             Some(Protocol::Closed | Protocol::BodyShort) => None,
             _ => err.is_malformed().then_some(Self::Malformed),
@@ -50,7 +54,7 @@
             Self::Timeout => 408,
             Self::Body => 413,
             Self::Header => 431,
-            Self::Connections => 503,
+            Self::Memory | Self::Connections => 503,
         }
     }
 
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -55,6 +55,7 @@
 use crate::callers::ConnectionTracker;
 use crate::clock::Clock;
 use crate::control::Store;
+use crate::memory::BodyMemory;
 use crate::peers::Peers;
 use crate::target::Target;
 use crate::target::TargetLimits;
@@ -69,6 +70,8 @@
     vm: VmName,
     pub(crate) timers: Arc<Timers>,
     pub(crate) uplink: Uplink,
+    /// Memory of large bodies.
+    pub(crate) memory: Arc<BodyMemory>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) target: Arc<Target>,
     request_wake: WakeTimer,
@@ -104,6 +107,7 @@
     pub(crate) timers: Arc<Timers>,
     /// Transfer rate of the VM's network link, if it is known.
     pub(crate) link: Option<BitRate>,
+    pub(crate) memory: Arc<BodyMemory>,
     pub(crate) store: Option<Arc<Store>>,
 }
 
@@ -122,7 +126,8 @@
             log: parts.log,
             clock,
             vm,
-            peers: Arc::new(Peers::new(parts.timers.clone())),
+            peers: Arc::new(Peers::new(parts.timers.clone(), parts.memory.clone())),
+            memory: parts.memory,
             target: Arc::new(parts.target),
             uplink: Uplink::new(parts.link, parts.timers.clone()),
             timers: parts.timers,
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -69,6 +69,8 @@
     BodyShort,
     #[display("success without the target's signature")]
     Unsigned,
+    #[display("bodies exceed the memory for them")]
+    Memory,
     #[display("too many responses to other requests")]
     Stale,
     #[display("no answer in time")]
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connection that reads one message at a time, within limits.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -9,6 +10,8 @@
 
 use crate::Result;
 use crate::error::Protocol;
+use crate::memory::BodyMemory;
+use crate::memory::Reservation;
 use crate::net;
 use crate::net::Stream;
 
@@ -32,12 +35,25 @@
 pub(crate) struct Connection {
     stream: Stream,
     buf: BytesMut,
+    /// Limit on the memory of bodies; absent if they are small.
+    memory: Option<Arc<BodyMemory>>,
 }
 
 impl Connection {
     pub(crate) fn new(stream: Stream) -> Self {
-        let buf = BytesMut::new();
-        Self { stream, buf }
+        Self {
+            stream,
+            buf: BytesMut::new(),
+            memory: None,
+        }
+    }
+
+    /// Counts the memory of the bodies that are read.
+    pub(crate) fn with_memory(self, memory: Arc<BodyMemory>) -> Self {
+        Self {
+            memory: Some(memory),
+            ..self
+        }
     }
 
     /// Returns the connection, or `None` if bytes were read beyond the last message.
@@ -101,11 +117,23 @@
             return Err(Protocol::BodyLength.into());
         }
         let length = usize::try_from(length).map_err(|_| Protocol::BodyLength)?;
-        self.buf.reserve(length.saturating_sub(self.buf.len()));
+        let mut reservation = Reservation::new(self.memory.clone());
+        let body = self.read_part(length, 0, &mut reservation).await?;
+        Ok(reservation.attach(body))
+    }
+
+    /// Reads `length` bytes of a body, after `before` bytes of it.
+    async fn read_part(
+        &mut self,
+        length: usize,
+        before: usize,
+        reservation: &mut Reservation,
+    ) -> Result<Bytes> {
         while self.buf.len() < length {
             if self.fill().await? == 0 {
                 return Err(Protocol::BodyShort.into());
             }
+            reservation.grow(before + self.buf.len())?;
         }
         Ok(self.buf.split_to(length).freeze())
     }
@@ -114,6 +142,7 @@
     /// by that of the body.
     pub(super) async fn read_chunked_body(&mut self, limit: ByteSize) -> Result<Bytes> {
         let mut body = BytesMut::new();
+        let mut reservation = Reservation::new(self.memory.clone());
         let mut framing = 0;
         loop {
             let line = self.read_line().await?;
@@ -128,13 +157,16 @@
             if size == 0 {
                 break;
             }
-            body.extend_from_slice(&self.read_body(size, limit).await?);
+            let size = usize::try_from(size).map_err(|_| Protocol::BodyLength)?;
+            let part = self.read_part(size, body.len(), &mut reservation).await?;
+            body.extend_from_slice(&part);
+            reservation.grow(body.len())?;
             if !self.read_line().await?.is_empty() {
                 return Err(Protocol::Head.into());
             }
         }
         self.skip_trailer().await?;
-        Ok(body.freeze())
+        Ok(reservation.attach(body.freeze()))
     }
 
     async fn skip_trailer(&mut self) -> Result<()> {
@@ -153,12 +185,14 @@
 
     /// Reads a body that ends when the connection is closed. A reset is an error.
     pub(super) async fn read_to_end(&mut self, limit: ByteSize) -> Result<Bytes> {
+        let mut reservation = Reservation::new(self.memory.clone());
         while self.fill().await? > 0 {
             if self.buf.len() as u64 > limit.get() {
                 return Err(Protocol::BodyLength.into());
             }
+            reservation.grow(self.buf.len())?;
         }
-        Ok(self.buf.split().freeze())
+        Ok(reservation.attach(self.buf.split().freeze()))
     }
 
     /// Reads a line and returns it without its line break.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod error;
 mod http;
 mod log;
+mod memory;
 mod net;
 mod node;
 mod operators;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -35,6 +35,7 @@
 use crate::control::Store;
 use crate::driver::Driver;
 use crate::driver::DriverParts;
+use crate::memory::BodyMemory;
 use crate::operators;
 use crate::operators::Metrics;
 use crate::operators::Operators;
@@ -43,6 +44,7 @@
 use crate::settings::PortName;
 use crate::target;
 use crate::target::Target;
+use crate::target::TargetParts;
 use crate::timers::Timers;
 
 /// Addresses at which a node listens.
@@ -105,7 +107,14 @@
         let store = adapter_store(&settings);
         let cfg = kernel_config(&settings, store.as_deref());
         let dialect = cfg.requests.terms.dialect.clone();
-        let target = Target::new(settings.target, timers.clone(), dialect, log.clone());
+        let memory = BodyMemory::new(settings.memory);
+        let target = Target::new(TargetParts {
+            addr: settings.target,
+            timers: timers.clone(),
+            memory: memory.clone(),
+            dialect,
+            log: log.clone(),
+        });
         let driver = Arc::new(Driver::new(DriverParts {
             ex,
             log,
@@ -113,6 +122,7 @@
             target,
             timers: timers.clone(),
             link: settings.link,
+            memory,
             store: store.clone(),
         }));
         let callers = Arc::new(Callers {
--- a/crates/node/src/peers/framed_stream.rs
+++ b/crates/node/src/peers/framed_stream.rs
@@ -1,6 +1,7 @@
 //! Length-prefixed frames on a connection between two nodes.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -10,6 +11,8 @@
 
 use crate::Result;
 use crate::error::Protocol;
+use crate::memory::BodyMemory;
+use crate::memory::Reservation;
 use crate::net;
 use crate::net::Stream;
 
@@ -21,6 +24,9 @@
 pub(super) struct FramedStream {
     stream: Stream,
     buf: BytesMut,
+    memory: Arc<BodyMemory>,
+    /// Memory of the frame that is being read.
+    reservation: Reservation,
 }
 
 /// Result of one read of a frame.
@@ -34,9 +40,13 @@
 }
 
 impl FramedStream {
-    pub(super) fn new(stream: Stream) -> Self {
-        let buf = BytesMut::new();
-        Self { stream, buf }
+    pub(super) fn new(stream: Stream, memory: &Arc<BodyMemory>) -> Self {
+        Self {
+            stream,
+            buf: BytesMut::new(),
+            memory: memory.clone(),
+            reservation: Reservation::new(Some(memory.clone())),
+        }
     }
 
     /// Returns the connection, or `None` if bytes were read beyond the last frame.
@@ -63,9 +73,14 @@
         if let Some(size) = size
             && self.buf.len() >= size
         {
-            return Ok(Part::Frame(self.buf.split_to(size).freeze()));
+            let next = Reservation::new(Some(self.memory.clone()));
+            let reservation = std::mem::replace(&mut self.reservation, next);
+            return Ok(Part::Frame(
+                reservation.attach(self.buf.split_to(size).freeze()),
+            ));
         }
         if self.fill().await? > 0 {
+            self.reservation.grow(self.buf.len())?;
             return Ok(Part::Bytes);
         }
         if self.buf.is_empty() {
--- a/crates/node/src/peers/inbound.rs
+++ b/crates/node/src/peers/inbound.rs
@@ -36,7 +36,7 @@
         let Some(stream) = net::accept(&listener).await else {
             continue;
         };
-        let stream = FramedStream::new(stream);
+        let stream = FramedStream::new(stream, &driver.memory);
         driver.spawn(serve(driver.clone(), stream));
     }
 }
@@ -154,6 +154,7 @@
 async fn write_reply(driver: &Driver, stream: &mut FramedStream, reply: ReplyFrame) -> Result<()> {
     let is_reply = matches!(reply, ReplyFrame::Reply(_));
     let frame = reply.encode();
+    let _held = driver.memory.hold(frame.len());
     let ticket = driver.uplink.ticket(frame.len()).filter(|_| is_reply);
     let Some((ticket, size)) = ticket.zip(driver.uplink.part_size()) else {
         return write_bytes(driver, stream, &frame).await;
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/outbound.rs
@@ -15,6 +15,7 @@
 use celeryshore_wire::RequestFrame;
 use serde_json::Value;
 
+use crate::memory::BodyMemory;
 use crate::net;
 use crate::peers::framed_stream::FramedStream;
 use crate::peers::framed_stream::Part;
@@ -38,13 +39,15 @@
 pub(crate) struct Peers {
     pub(super) pool: PeerPool,
     timers: Arc<Timers>,
+    pub(super) memory: Arc<BodyMemory>,
 }
 
 impl Peers {
-    pub(crate) fn new(timers: Arc<Timers>) -> Self {
+    pub(crate) fn new(timers: Arc<Timers>, memory: Arc<BodyMemory>) -> Self {
         Self {
             pool: PeerPool::default(),
             timers,
+            memory,
         }
     }
 
@@ -107,13 +110,13 @@
     /// on a new one. Returns the connection and the number of bytes written.
     async fn start_send(&self, peer: SocketAddr, frame: &Bytes) -> Result<(FramedStream, usize)> {
         while let Some(stream) = self.pool.take(peer) {
-            let stream = FramedStream::new(stream);
+            let stream = FramedStream::new(stream, &self.memory);
             if let Ok(written) = stream.write_some(frame).await {
                 return Ok((stream, written));
             }
         }
         let stream = net::connect(peer).await.map_err(|_| Progress::NeverSent)?;
-        let stream = FramedStream::new(stream);
+        let stream = FramedStream::new(stream, &self.memory);
         let written = stream.write_some(frame).await;
         let written = written.map_err(|_| Progress::NeverSent)?;
         Ok((stream, written))
--- a/crates/node/src/peers/probe.rs
+++ b/crates/node/src/peers/probe.rs
@@ -28,7 +28,7 @@
         for (peer, mut idle) in peers.pool.take_unverified(before) {
             let peers = peers.clone();
             let probe = async move {
-                if let Some(stream) = verify(idle.stream).await {
+                if let Some(stream) = verify(idle.stream, &peers).await {
                     idle.stream = stream;
                     idle.verified = Instant::now();
                     peers.pool.put_back(peer, idle);
@@ -40,8 +40,8 @@
 }
 
 /// Returns the connection if the peer answers a ping on it.
-async fn verify(stream: Stream) -> Option<Stream> {
-    let mut stream = FramedStream::new(stream);
+async fn verify(stream: Stream, peers: &Peers) -> Option<Stream> {
+    let mut stream = FramedStream::new(stream, &peers.memory);
     let pong = net::timeout(PONG_TIMEOUT, ping(&mut stream)).await;
     match pong? {
         Some(ReplyFrame::Pong) => stream.into_idle(),
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -17,6 +17,7 @@
 use std::str::FromStr;
 
 use celeryshore_model::BitRate;
+use celeryshore_model::ByteSize;
 use celeryshore_model::ServiceName;
 use celeryshore_model::VmName;
 use celeryshore_model::ZoneName;
@@ -103,6 +104,9 @@
     /// so that small messages do not wait behind them.
     #[serde(default, deserialize_with = "number::bit_rate")]
     pub link: Option<BitRate>,
+    /// Memory that the process may use. A quarter of it is for large bodies.
+    #[serde(default, deserialize_with = "number::size")]
+    pub memory: Option<ByteSize>,
     /// Number of threads that run tasks, from 1 to 64; 1 by default.
     #[serde(default = "default_threads")]
     pub threads: usize,
--- a/crates/node/src/settings/number.rs
+++ b/crates/node/src/settings/number.rs
@@ -1,6 +1,10 @@
-//! Counts, which platforms may state as fractions, and rates.
+//! Counts, which platforms may state as fractions, rates and sizes.
+
+use std::fmt::Display;
+use std::str::FromStr;
 
 use celeryshore_model::BitRate;
+use celeryshore_model::ByteSize;
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::de;
@@ -19,9 +23,24 @@
     count.ok_or_else(|| E::invalid_value(Unexpected::Float(number), &"a count of at least 0"))
 }
 
-/// Deserializes the rate of a link, or `None` if there is no value.
+/// Deserializes the rate of a link, or `None` if there is no value or it is zero.
 pub(super) fn bit_rate<'de, D: Deserializer<'de>>(d: D) -> Result<Option<BitRate>, D::Error> {
+    let rate = parse_text::<BitRate, D>("link", d)?;
+    Ok(rate.filter(|rate| !rate.is_zero()))
+}
+
+/// Deserializes the memory of a process, or `None` if there is no value or it is zero.
+pub(super) fn size<'de, D: Deserializer<'de>>(d: D) -> Result<Option<ByteSize>, D::Error> {
+    let size = parse_text::<ByteSize, D>("memory", d)?;
+    Ok(size.filter(|size| size.get() > 0))
+}
+
+fn parse_text<'de, T, D>(key: &str, d: D) -> Result<Option<T>, D::Error>
+where
+    T: FromStr<Err: Display>,
+    D: Deserializer<'de>,
+{
     let text: Option<String> = Option::deserialize(d)?;
-    let rate = text.map(|text| text.parse()).transpose();
-    rate.map_err(|err| de::Error::custom(format_args!("link: {err}")))
+    let value = text.map(|text| text.parse()).transpose();
+    value.map_err(|err| de::Error::custom(format_args!("{key}: {err}")))
 }
--- a/crates/node/src/target/health.rs
+++ b/crates/node/src/target/health.rs
@@ -77,7 +77,7 @@
     let response = match outcome {
         Outcome::Answered(response) => response,
         Outcome::NeverSent => return Health::Unreachable,
-        Outcome::Broken | Outcome::Silent => return Health::Bad,
+        Outcome::Broken | Outcome::Silent | Outcome::Discarded => return Health::Bad,
     };
     if !is_success(response) {
         return Health::Bad;
--- a/crates/node/src/target/mod.rs
+++ b/crates/node/src/target/mod.rs
@@ -31,6 +31,7 @@
 use crate::http;
 use crate::http::Connection;
 use crate::http::MessageLimits;
+use crate::memory::BodyMemory;
 use crate::timers::Timers;
 
 /// Number of responses to earlier requests that are skipped on one connection.
@@ -46,28 +47,35 @@
     pub(crate) body: ByteSize,
 }
 
+/// Parts that a client of the target is made of.
+pub(crate) struct TargetParts {
+    /// Address of the target.
+    pub(crate) addr: SocketAddr,
+    pub(crate) timers: Arc<Timers>,
+    pub(crate) memory: Arc<BodyMemory>,
+    pub(crate) dialect: Dialect,
+    pub(crate) log: Logger,
+}
+
 /// Client of the local target.
 pub(crate) struct Target {
     pool: TargetPool,
     timers: Arc<Timers>,
+    memory: Arc<BodyMemory>,
     dialect: Dialect,
     unread_fields: UnreadFields,
     log: Logger,
 }
 
 impl Target {
-    pub(crate) fn new(
-        addr: SocketAddr,
-        timers: Arc<Timers>,
-        dialect: Dialect,
-        log: Logger,
-    ) -> Self {
+    pub(crate) fn new(parts: TargetParts) -> Self {
         Self {
-            pool: TargetPool::new(addr),
-            timers,
-            dialect,
+            pool: TargetPool::new(parts.addr),
+            timers: parts.timers,
+            memory: parts.memory,
+            dialect: parts.dialect,
             unread_fields: UnreadFields::default(),
-            log,
+            log: parts.log,
         }
     }
 
@@ -86,7 +94,7 @@
         let Some((lease, stream)) = self.pool.lease().await else {
             return Outcome::NeverSent;
         };
-        let conn = Connection::new(stream);
+        let conn = Connection::new(stream).with_memory(self.memory.clone());
         let response = self
             .timers
             .timeout_at(deadline, self.exchange(lease, conn, &bytes, &request))
@@ -96,6 +104,10 @@
                 self.log_unread_fields(&response);
                 Outcome::Answered(response)
             }
+            Some(Err(err)) if err.protocol() == Some(Protocol::Memory) => {
+                slog::warn!(self.log, "target: response discarded"; "error" => %err);
+                Outcome::Discarded
+            }
             Some(Err(_)) => Outcome::Broken,
             None => {
                 self.pool.clear();
@@ -171,11 +183,12 @@
         }
     }
 
-    /// Returns the state of the connections, and the counts of unread response fields,
-    /// for the state dump.
+    /// Returns the state of the connections, the counts of unread response fields and the
+    /// memory of bodies, for the state dump.
     pub(crate) fn dump(&self) -> Value {
         let mut state = self.pool.dump();
         state["unread_fields"] = self.unread_fields.dump();
+        state["body_bytes"] = self.memory.used().into();
         state
     }
 }
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -73,6 +73,36 @@
     }
 }
 
+#[test]
+fn link_and_memory() {
+    let parse = |text: &str| {
+        let settings: Settings = settings_text(text).parse().unwrap();
+        (
+            settings.link.map(|rate| rate.to_string()),
+            settings.memory.map(|size| size.to_string()),
+        )
+    };
+    let text = |text: &str| Some(text.to_owned());
+    assert_eq!(
+        parse("link: 200.0Mbit/s\nmemory: 160MiB\n"),
+        (text("200Mbit/s"), text("160MiB"))
+    );
+    assert_eq!(
+        parse("link: 1.1e1Mbit/s\nmemory: 0.5MiB\n"),
+        (text("11Mbit/s"), text("512KiB"))
+    );
+    assert_eq!(parse("link: 0Mbit/s\nmemory: 0MiB\n"), (None, None));
+    assert_eq!(parse("link:\nmemory:\n"), (None, None));
+    for invalid in [
+        "link: 11\n",
+        "link: -1Mbit/s\n",
+        "memory: -1MiB\n",
+        "memory: lots\n",
+    ] {
+        parse_error(&settings_text(invalid));
+    }
+}
+
 #[test]
 fn unknown_key() {
     let err = parse_error(&settings_text("colour: blue\n"));
