--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_executor::StaticExecutor;
 use async_executor::Task;
@@ -21,6 +22,7 @@
 use celeryshore_model::Incarnation;
 use celeryshore_model::Share;
 use celeryshore_model::Zone;
+use futures_lite::FutureExt;
 use slog::Logger;
 
 use crate::Error;
@@ -47,6 +49,9 @@
 use crate::target::TargetParts;
 use crate::timers::Timers;
 
+/// Time between two log lines about a drain that goes on.
+const DRAIN_LOG_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Addresses at which a node listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
@@ -189,15 +194,31 @@
         self.callers.tracker.close();
         driver.handle(RequestEvent::Drain);
         Timer::after(self.callers.limits.leaving).await;
-        driver.wait_drained().await;
-        cancel_all(self.accept_tasks).await;
-        self.callers.tracker.wait_until_empty().await;
-        driver.unsent_replies.wait_until_empty().await;
+        let finished = async {
+            driver.wait_drained().await;
+            cancel_all(self.accept_tasks).await;
+            self.callers.tracker.wait_until_empty().await;
+            driver.unsent_replies.wait_until_empty().await;
+        };
+        finished.or(log_drain(&self.callers)).await;
         cancel_all(self.tasks).await;
         slog::info!(driver.log(), "node: drained");
     }
 }
 
+/// Logs what a drain still waits for, until it is dropped.
+async fn log_drain(callers: &Callers) {
+    let driver = &callers.driver;
+    loop {
+        Timer::after(DRAIN_LOG_INTERVAL).await;
+        let status = driver.inspect(|kernel| kernel.requests.status());
+        slog::warn!(driver.log(), "node: still draining";
+            "calls" => status.calls, "in_flight" => status.load.in_flight,
+            "connections" => callers.tracker.count(),
+            "replies" => driver.unsent_replies.count());
+    }
+}
+
 /// Cancels tasks and waits until they have released their resources.
 async fn cancel_all(tasks: Vec<Task<()>>) {
     for task in tasks {
--- a/crates/node/tests/log_lines.rs
+++ b/crates/node/tests/log_lines.rs
@@ -13,6 +13,7 @@
 use std::time::Instant;
 
 use crate::support;
+use crate::support::Caller;
 use crate::support::FakeServer;
 use crate::support::Vm;
 use crate::support::call;
@@ -133,3 +134,27 @@
     pipe.read_to_string(&mut stderr).unwrap();
     assert_eq!(stderr, "", "a task panicked");
 }
+
+/// A drain that goes on says what it waits for.
+#[test]
+fn long_drain() {
+    let vm = Vm::next();
+    FakeServer::start(vm.target(), |mut stream| {
+        let _ = read_message(&mut stream);
+        thread::sleep(support::TEST_TIMEOUT);
+    });
+    let mut process = start(vm, "info");
+    let stdout = BufReader::new(process.stdout.take().unwrap());
+    let mut caller = Caller::connect(vm.callers());
+    caller.send("GET /stock HTTP/1.1\r\nhost: a\r\n\r\n");
+    thread::sleep(Duration::from_millis(50));
+    terminate(&process);
+    assert!(process.wait().unwrap().success());
+    let lines: Vec<_> = stdout.lines().map_while(Result::ok).collect();
+    let waits = lines.iter().filter(|l| l.contains("still draining"));
+    let waits: Vec<_> = waits.collect();
+    assert!(
+        waits.iter().any(|l| l.contains("connections: 1")),
+        "{lines:?}"
+    );
+}
