Ask the seeds first when a whole fleet starts

Cause: a node without knowledge of others read the store itself. At the first start of a fleet all nodes do so at once. Change: the settings say that the whole fleet starts for the first time. A node then asks its seeds, any of them unless it is one, and reads the store only if none answers. A node that restarts goes on reading the store, since its callers wait and the seeds' links are slow. Evidence: sources::first_start; the code before starts two reads.

--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -85,6 +85,9 @@
     pub peer_port: u16,
     /// Nodes to poll while the store is unavailable and no other node is known.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time. Its nodes then ask the seeds
+    /// before they read the store.
+    pub is_first_start: bool,
     /// Adapter of the platform.
     pub adapter: Arc<dyn Adapter>,
     /// Seed of the random number generator.
--- a/crates/kernel/src/feed/peers.rs
+++ b/crates/kernel/src/feed/peers.rs
@@ -8,6 +8,7 @@
 use celeryshore_model::VmName;
 use celeryshore_model::ZoneName;
 
+use super::FeedConfig;
 use super::Position;
 use super::catalog::Catalog;
 use super::compile;
@@ -106,19 +107,25 @@
 
     /// Adds seeds as peers while no other peer is known.
     ///
-    /// In a fleet that starts, all nodes would otherwise read the store until the
-    /// platform lists their targets. Only seeds whose VM names sort before `own` are
-    /// added, so that no two nodes follow each other.
-    pub(super) fn add_seeds(&mut self, seeds: &[SocketAddr], own: &VmName) {
+    /// Load pattern: a fleet that starts. All its nodes would otherwise read the store until
+    /// the platform lists their targets. Only seeds whose VM names sort before `own` are
+    /// added, so that no two nodes follow each other. At the first start of the fleet
+    /// nobody knows any node but the seeds, so that another node may follow any of them.
+    pub(super) fn add_seeds(&mut self, cfg: &FeedConfig) {
         if !self.known.is_empty() {
             return;
         }
-        for seed in seeds {
-            let Some(vm) = compile::vm_at(*seed).filter(|vm| vm < own) else {
-                continue;
-            };
+        let own = &cfg.vm;
+        let seeds = cfg.seeds.iter();
+        let seeds: Vec<_> = seeds
+            .filter_map(|addr| Some((compile::vm_at(*addr)?, *addr)))
+            .collect();
+        let is_seed = seeds.iter().any(|(vm, _)| vm == own);
+        let follows_any = cfg.is_first_start && !is_seed;
+        let followed = seeds.into_iter().filter(|(vm, _)| vm < own || follows_any);
+        for (vm, seed) in followed {
             let peer = Peer {
-                addr: *seed,
+                addr: seed,
                 rank: 0,
                 is_same_zone: true,
                 failure_history: FailureHistory::default(),
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -143,8 +143,8 @@
 
     /// Chooses the source of this node and reads the store or polls the peer.
     fn start_reads(&mut self, now: Time) {
-        if !self.is_initial_list_pending() {
-            self.peers.add_seeds(&self.cfg.seeds, &self.cfg.vm);
+        if self.cfg.is_first_start || !self.is_initial_list_pending() {
+            self.peers.add_seeds(&self.cfg);
         }
         let choice = self.peers.choose_source(now, &self.cfg.vm, &self.cfg.zone);
         self.set_source(&choice);
--- a/crates/kernel/tests/feed/sources.rs
+++ b/crates/kernel/tests/feed/sources.rs
@@ -276,6 +276,46 @@
     assert_eq!(watches(&first), 2);
 }
 
+/// Load pattern: a fleet of any size starts. Only a seed reads the store; the others ask
+/// the seeds, and read it only if none answers.
+#[test]
+fn first_start() {
+    // The name of this node sorts before that of the seed.
+    let mut node = Node::start("10.0.0.4", true);
+    let (fetch, peer) = node.take_poll().expect("pending poll");
+    assert_eq!(peer, "10.0.0.9:7000".parse().expect("valid address"));
+    let items = VMS.map(|vm| {
+        let item = item(&key(vm), 2, &format!("{vm}:80"));
+        (StoreSection::Upstreams, item)
+    });
+    let answer = Box::new(CatalogAnswer {
+        position: Position {
+            incarnation: Incarnation(3),
+            sequence: 4,
+        },
+        age: Some(Duration::ZERO),
+        version: configuration(4).version,
+        revisions: [StoreRevision::from(9); 2],
+        is_whole: true,
+        items: [
+            &items[..],
+            &[(StoreSection::Configuration, item("conf", 1, "4"))],
+        ]
+        .concat(),
+    });
+    node.send(FeedEvent::PeerAnswered { fetch, answer });
+    assert!(VMS.iter().all(|vm| node.has_upstream_on(vm)));
+    let reads = |node: &Node| node.feed.status().store_reads;
+    assert_eq!(reads(&node), 0);
+    let mut alone = Node::start("10.0.0.99", true);
+    let (fetch, _) = alone.take_poll().expect("pending poll");
+    let failure = FetchFailure::Unreachable;
+    alone.send(FeedEvent::FetchFailed { fetch, failure });
+    assert_eq!(reads(&alone), 2);
+    let seed = Node::start("10.0.0.9", true);
+    assert_eq!(reads(&seed), 2);
+}
+
 /// Guards against following a peer whose link fails repeatedly: the backoff grows with
 /// every failure, even if the peer answers in between.
 #[test]
--- a/crates/kernel/tests/feed/support/mod.rs
+++ b/crates/kernel/tests/feed/support/mod.rs
@@ -137,7 +137,13 @@
 
 impl Node {
     pub fn new(vm: &str) -> Self {
+        Self::start(vm, false)
+    }
+
+    /// Starts a node, if `is_first_start` together with its whole fleet.
+    pub fn start(vm: &str, is_first_start: bool) -> Self {
         let cfg = FeedConfig {
+            is_first_start,
             vm: vm.parse().expect("valid VM"),
             zone: ZONE.parse().expect("valid zone"),
             zones: Vec::new(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -327,6 +327,7 @@
         incarnation,
         peer_port: settings.peer.port(),
         seeds: settings.seeds.iter().map(|seed| seed.peer).collect(),
+        is_first_start: settings.first_start,
         adapter: store.adapter.clone(),
         seed: fastrand::u64(..),
     }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -94,6 +94,10 @@
     /// Nodes to contact before a configuration lists the others.
     #[serde(default)]
     pub seeds: Vec<Seed>,
+    /// Whether the whole fleet starts for the first time. Its nodes then ask the seeds
+    /// before they read the platform's store.
+    #[serde(default)]
+    pub first_start: bool,
     /// Least severe level that is logged; `info` by default.
     #[serde(default)]
     pub log: LogLevel,
