Go on reading a response of the store or a peer while bytes arrive

After a loss of power all 195 VMs of the large site read a configuration of 1,280 routes at once.

Cause: the time for a list was measured to its last byte. The store's link needs most of a second for the lists of all, a small VM's link a fifth. Change: the response has to begin in that time; then half a second without bytes ends it, and five seconds in all. The same for a peer's catalog.

--- a/crates/kernel/src/feed/event.rs
+++ b/crates/kernel/src/feed/event.rs
@@ -108,7 +108,7 @@
         section: Section,
         /// Last key of the previous page; absent for the first page.
         after: Option<ItemKey>,
-        /// Time at which the driver gives up.
+        /// Time by which the response has to begin.
         deadline: Time,
     },
     /// Read the changes of a section from the store.
@@ -121,7 +121,7 @@
         after: Revision,
         /// Longest time for which the store may hold the request until a change.
         wait: Duration,
-        /// Time at which the driver gives up.
+        /// Time by which the response has to begin.
         deadline: Time,
     },
     /// Poll a peer for changes.
@@ -132,7 +132,7 @@
         peer: SocketAddr,
         /// Position of the polling node and its longest wait.
         request: CatalogRequest,
-        /// Time at which the driver gives up.
+        /// Time by which the response has to begin.
         deadline: Time,
     },
     /// Answer a long poll of a peer.
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -132,15 +132,26 @@
     }
 }
 
+/// Sends a request to a platform's service on a new connection, and reads the response.
+async fn get(platform: SocketAddr, request: HttpRequest) -> Result<HttpResponse> {
+    let mut conn = send(platform, request).await?;
+    read(&mut conn).await
+}
+
 /// Sends a request to a platform's service on a new connection.
-pub(super) async fn get(platform: SocketAddr, request: HttpRequest) -> Result<HttpResponse> {
+pub(super) async fn send(platform: SocketAddr, request: HttpRequest) -> Result<Connection> {
     let request = HttpRequest {
         host: platform.to_string().into(),
         ..request
     };
-    let mut conn = Connection::new(net::connect(platform).await?);
+    let conn = Connection::new(net::connect(platform).await?);
     conn.write(&http::encode_request(&request).await?).await?;
-    let (response, _) = http::read_response(&mut conn, LIMITS, false).await?;
+    Ok(conn)
+}
+
+/// Reads the response of a platform's service.
+pub(super) async fn read(conn: &mut Connection) -> Result<HttpResponse> {
+    let (response, _) = http::read_response(conn, LIMITS, false).await?;
     Ok(response)
 }
 
--- a/crates/node/src/control/store.rs
+++ b/crates/node/src/control/store.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use celeryshore_kernel::Adapter;
@@ -17,6 +18,11 @@
 use super::platform;
 use crate::net;
 
+/// Longest time without any bytes of a response that has begun.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for a response that has begun.
+const MAX_TRANSFER: Duration = Duration::from_secs(5);
+
 /// Alias for a `Result` of a read.
 pub(crate) type Result<T> = std::result::Result<T, FetchFailure>;
 
@@ -46,7 +52,7 @@
         &self,
         section: StoreSection,
         after: StoreRevision,
-        wait: std::time::Duration,
+        wait: Duration,
         deadline: Instant,
     ) -> Result<Changes> {
         let response = self
@@ -55,8 +61,22 @@
         Ok(self.adapter.read_changes(&response)?)
     }
 
+    /// Sends a request and reads the response, which has to begin before the deadline.
+    ///
+    /// Load pattern: a whole fleet starts and reads a large configuration. The store's
+    /// link, or that of a small VM, takes seconds for it. A read that is given up halfway
+    /// would begin anew and make the others slower.
     async fn get(&self, request: HttpRequest, deadline: Instant) -> Result<HttpResponse> {
-        let response = net::timeout_at(deadline, platform::get(self.addr, request)).await;
+        let begun = async {
+            let mut conn = platform::send(self.addr, request).await?;
+            conn.wait_for_message().await?;
+            crate::Result::Ok(conn)
+        };
+        let conn = net::timeout_at(deadline, begun).await;
+        let conn = conn.ok_or(FetchFailure::Timeout)?;
+        let conn = conn.map_err(|_| FetchFailure::Unreachable)?;
+        let mut conn = conn.with_progress_timeout(PROGRESS_TIMEOUT);
+        let response = net::timeout(MAX_TRANSFER, platform::read(&mut conn)).await;
         let response = response.ok_or(FetchFailure::Timeout)?;
         response.map_err(|_| FetchFailure::Unreachable)
     }
--- a/crates/node/src/http/connection.rs
+++ b/crates/node/src/http/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -15,7 +16,7 @@
 use crate::net;
 use crate::net::Stream;
 
-const READ_BYTES: usize = 4 * 1_024;
+const READ_BYTES: usize = 16 * 1_024;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const LINE_END: &[u8] = b"\r\n";
 /// Longest line with a chunk size, and longest trailer.
@@ -37,6 +38,9 @@
     buf: BytesMut,
     /// Limit on the memory of bodies; absent if they are small.
     memory: Option<Arc<BodyMemory>>,
+    /// Longest time without any bytes within a message; absent if the caller of a read
+    /// limits its time.
+    progress_timeout: Option<Duration>,
 }
 
 impl Connection {
@@ -45,6 +49,15 @@
             stream,
             buf: BytesMut::new(),
             memory: None,
+            progress_timeout: None,
+        }
+    }
+
+    /// Limits the time for which a read may wait for the next bytes.
+    pub(crate) fn with_progress_timeout(self, timeout: Duration) -> Self {
+        Self {
+            progress_timeout: Some(timeout),
+            ..self
         }
     }
 
@@ -213,7 +226,13 @@
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
-        net::read_available(&self.stream, &mut self.buf, READ_BYTES).await
+        let read = net::read_available(&self.stream, &mut self.buf, READ_BYTES);
+        match self.progress_timeout {
+            Some(timeout) => net::timeout(timeout, read)
+                .await
+                .ok_or(io::ErrorKind::TimedOut)?,
+            None => read.await,
+        }
     }
 
     /// Skips empty lines and returns the number of their bytes.
--- a/crates/node/src/peers/outbound.rs
+++ b/crates/node/src/peers/outbound.rs
@@ -26,6 +26,8 @@
 /// is outstanding, peers send a frame more often than this.
 pub(super) const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time for a poll.
+const MAX_TRANSFER: Duration = Duration::from_secs(5);
 /// Shortest mean time between two frames that only say that the reply is outstanding; a
 /// quarter of the interval at which nodes send them.
 const MIN_WORKING_INTERVAL: Duration = Duration::from_millis(60);
@@ -65,7 +67,8 @@
         }
     }
 
-    /// Polls a peer for the contents of the platform's store.
+    /// Polls a peer for the contents of the platform's store. The answer has to begin
+    /// before the deadline; a slow link may take longer for the rest of a large one.
     pub(crate) async fn poll_catalog(
         &self,
         peer: SocketAddr,
@@ -73,12 +76,34 @@
         deadline: Instant,
     ) -> Option<Box<CatalogAnswer>> {
         let frame = RequestFrame::Catalog(request).encode();
-        match self.round_trip(peer, frame, deadline).await.ok()? {
+        let answered = self.poll(peer, frame, deadline);
+        let answer = self.timers.timeout(MAX_TRANSFER, answered).await.flatten();
+        if answer.is_none() {
+            self.pool.clear(peer);
+        }
+        match answer? {
             ReplyFrame::Catalog(answer) => Some(answer),
             _ => None,
         }
     }
 
+    async fn poll(&self, peer: SocketAddr, frame: Bytes, begin_by: Instant) -> Option<ReplyFrame> {
+        let begun = async {
+            let (mut stream, written) = self.start_send(peer, &frame).await.ok()?;
+            stream.write(&frame[written..]).await.ok()?;
+            let part = stream.read_part().await.ok()?;
+            Some((stream, part))
+        };
+        let (mut stream, part) = self.timers.timeout_at(begin_by, begun).await??;
+        let reply = match part {
+            Part::Frame(frame) => ReplyFrame::decode(frame).ok()?,
+            Part::Bytes => read_reply(&self.timers, &mut stream).await.ok()?,
+            Part::End => return None,
+        };
+        self.keep(peer, stream);
+        Some(reply)
+    }
+
     /// Sends a frame and waits for the frame that ends the exchange.
     async fn round_trip(
         &self,
