--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -181,7 +181,7 @@
     /// Returns the wait for a slot after which another upstream is preferable, if the
     /// kind has a target latency.
     ///
-    /// Load pattern: large responses, whose bytes are dear between zones. They stay in
+    /// Load pattern: large responses, whose traffic between zones is expensive. They stay in
     /// their zone as long as they can come in time there.
     pub(super) fn spillover_wait(&self) -> Option<Duration> {
         let divisor = if self.is_large {
