--- a/crates/kernel/src/requests/admission/scheduler.rs
+++ b/crates/kernel/src/requests/admission/scheduler.rs
@@ -15,6 +15,7 @@
 use celeryshore_model::Slots;
 use celeryshore_model::Time;
 
+pub(super) use self::waits::MIN_RETRY_AFTER;
 use super::adaptive_limit::Observation;
 use super::decision::Decision;
 use super::decision::SlotRequest;
@@ -36,8 +37,6 @@
 use crate::requests::WorkId;
 use crate::requests::terms::ColdStartTerms;
 
-pub(super) use self::waits::MIN_RETRY_AFTER;
-
 /// Time without an empty queue after which the queue counts as standing. It is longer
 /// than a few runs, so the queue no longer absorbs a mere burst.
 const STANDING_QUEUE_AFTER: Duration = Duration::from_millis(250);
