Log the view that decides each request

From the id of a request nobody could tell which view had decided it. Lines had the version only; a request that no route matches, and one that the first target answers, had no line. All lines about requests, and the one about a version that takes effect, now name source, age and the revisions with their eras.

published::deciding_view failed before: it found no line for either request. log_lines::many_failures counts the refused probes of its start as well, which are logged now; it is as strict as before.

--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -69,6 +69,7 @@
 use self::peers::Peers;
 use self::section_reader::SectionReader;
 pub use self::status::FeedStatus;
+pub use self::status::FeedView;
 
 /// Configuration of a node's feed at startup.
 #[derive(Clone, Debug)]
--- a/crates/kernel/src/feed/status.rs
+++ b/crates/kernel/src/feed/status.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use celeryshore_model::Time;
 use celeryshore_model::Version;
 use serde::Serialize;
 use serde_json::json;
@@ -14,6 +15,17 @@
 use crate::DumpSection;
 use crate::Kernel;
 
+/// Where the configuration in effect comes from, and how old it may be.
+#[derive(Clone, Copy, Debug)]
+pub struct FeedView<'a> {
+    /// Source that the node reads from; absent before its first read.
+    pub source: Option<&'a SourceName>,
+    /// Time since the store last confirmed the data; absent if it never did.
+    pub age: Option<Duration>,
+    /// Revisions up to which the sections are complete.
+    pub revisions: [Revision; Section::ALL.len()],
+}
+
 /// Status of the feed, for operators and metrics.
 #[derive(Clone, Debug, Serialize)]
 pub struct FeedStatus {
@@ -42,6 +54,16 @@
 }
 
 impl Feed {
+    /// Returns where the configuration in effect comes from.
+    #[must_use]
+    pub fn view(&self, now: Time) -> FeedView<'_> {
+        FeedView {
+            source: self.source.as_ref(),
+            age: self.confirmed_at.map(|at| now - at),
+            revisions: Section::ALL.map(|section| self.catalog.revision(section)),
+        }
+    }
+
     /// Returns the status after the latest event.
     #[must_use]
     pub fn status(&self) -> FeedStatus {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -46,6 +46,7 @@
 pub use crate::feed::FeedEvent;
 pub use crate::feed::FeedReport;
 pub use crate::feed::FeedStatus;
+pub use crate::feed::FeedView;
 pub use crate::feed::FetchFailure;
 pub use crate::feed::FetchId;
 pub use crate::feed::Item;
--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use celeryshore_model::Attempt;
 use celeryshore_model::Depth;
 use celeryshore_model::Digest;
@@ -169,7 +170,7 @@
         let id = cx.view.cfg().terms.dialect.request_id.as_ref();
         let report = RequestReport {
             request: id.and_then(|name| self.request.header(name)).cloned(),
-            kind: self.kind.clone(),
+            kind: Some(self.kind.clone()),
             step,
             tried: self.tried.len(),
             remaining: self.deadline - cx.now.mono,
@@ -178,6 +179,19 @@
         cx.actions.push(RequestAction::Report(Box::new(report)));
     }
 
+    /// Writes a log entry about a request that is refused before it becomes a call.
+    pub(super) fn report_refused(cx: &mut Context<'_>, id: Option<Bytes>, reason: NotRun) {
+        let report = RequestReport {
+            request: id,
+            kind: None,
+            step: RequestStep::RefusedHere { reason },
+            tried: 0,
+            remaining: Duration::ZERO,
+            version: cx.view.version(),
+        };
+        cx.actions.push(RequestAction::Report(Box::new(report)));
+    }
+
     /// Returns the wait for a slot after which another upstream is preferable, if the
     /// kind has a target latency.
     ///
--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -117,6 +117,8 @@
         request: HttpRequest,
     ) {
         let resend = call::Resend::of(&request);
+        let name = cx.view.cfg().terms.dialect.request_id.as_ref();
+        let request_id = name.and_then(|name| request.header(name)).cloned();
         match Call::route(cx, request, self.balancer.random()) {
             Ok(mut call) => {
                 let size = self.response_sizes.get(&call.kind);
@@ -127,6 +129,7 @@
                 self.answer(cx, id, retry::unknown_answer(Unknown::NotJudged));
             }
             Err(reason) => {
+                Call::report_refused(cx, request_id, reason);
                 let retry_after = RETRY_AFTER;
                 let answer = Answer::NotRun {
                     reason,
@@ -232,6 +235,12 @@
         };
         let is_retry = !call.tried.is_empty();
         call.tried.push(upstream.name.clone());
+        call.report(
+            cx,
+            RequestStep::Sent {
+                upstream: upstream.name.clone(),
+            },
+        );
         let has_others = retry::may_ask_others(cx, &call, call.refusals + 1)
             && self.balancer.has_healthy(cx, &call);
         let statement = self.balancer.statement(cx.now.mono, &upstream);
--- a/crates/kernel/src/requests/report.rs
+++ b/crates/kernel/src/requests/report.rs
@@ -1,4 +1,4 @@
-//! Log entries about requests that were not answered at the first attempt.
+//! Log entries about requests.
 
 use std::time::Duration;
 
@@ -14,12 +14,12 @@
 
 /// A step in the forwarding of a request, with the data that it depends on.
 #[derive(Clone, Debug, Display)]
-#[display("{kind} {step}, {tried} tried")]
+#[display("{} {step}, {tried} tried", kind_name(kind.as_ref()))]
 pub struct RequestReport {
     /// Request identifier set by the caller, if the dialect has a field for it.
     pub request: Option<Bytes>,
-    /// Request kind.
-    pub kind: KindId,
+    /// Request kind; absent if no route matches.
+    pub kind: Option<KindId>,
     /// Step that is reported.
     pub step: RequestStep,
     /// Number of upstreams that the request was sent to so far.
@@ -50,9 +50,25 @@
     LimitFromPeer(Rate),
 }
 
+fn kind_name(kind: Option<&KindId>) -> String {
+    kind.map_or_else(|| "unrouted".to_owned(), ToString::to_string)
+}
+
 /// A step in the forwarding of a request.
 #[derive(Clone, Debug, Display)]
 pub enum RequestStep {
+    /// The request was sent to an upstream.
+    #[display("sent to {upstream}")]
+    Sent {
+        /// Upstream that the balancer chose.
+        upstream: UpstreamName,
+    },
+    /// This node refused the request before it chose an upstream.
+    #[display("refused here: {reason}")]
+    RefusedHere {
+        /// Why the request is not forwarded.
+        reason: NotRun,
+    },
     /// A node refused the request.
     #[display("refused by {upstream}: {reason}")]
     Refused {
--- a/crates/node/src/driver/feed.rs
+++ b/crates/node/src/driver/feed.rs
@@ -93,11 +93,10 @@
                 });
             }
             FeedAction::AnswerPoll { poll, answer } => pending.answer_poll(poll, answer),
-            FeedAction::Configured(snapshot) => self.apply_configuration(&snapshot),
             FeedAction::Report(report) => self.log_feed_report(&report),
             FeedAction::WakeAt(time) => self.feed_wake.set(time),
-            // The request state machine handles it.
-            FeedAction::ColdStart(_) => {}
+            // The request state machine and `handle_locked` handle these.
+            FeedAction::ColdStart(_) | FeedAction::Configured(_) => {}
         }
     }
 
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -30,6 +30,7 @@
 use celeryshore_kernel::CallId;
 use celeryshore_kernel::Event;
 use celeryshore_kernel::ExchangeId;
+use celeryshore_kernel::FeedAction;
 use celeryshore_kernel::FleetAction;
 use celeryshore_kernel::FleetEvent;
 use celeryshore_kernel::InboundId;
@@ -62,6 +63,13 @@
 use crate::timers::Timers;
 use crate::uplink::Uplink;
 
+/// Lines about requests that fail or are refused, in a second. Enough for the ordinary
+/// failures of one node, and a small part of its CPU time when every request fails.
+const FAILURE_LINES: u32 = 20;
+/// Lines about requests that are sent to an upstream, in a second: the load of an ordinary
+/// node. They have a limit of their own, so that failures are logged under any load.
+const SENT_LINES: u32 = 100;
+
 /// State that the tasks of a node share.
 pub(crate) struct Driver {
     ex: &'static StaticExecutor,
@@ -78,6 +86,7 @@
     fleet_wake: WakeTimer,
     feed_wake: WakeTimer,
     log_quota: Quota,
+    sent_quota: Quota,
     /// Counts the peers' requests whose reply is not written yet.
     pub(crate) unsent_replies: ConnectionTracker,
     store: Option<Arc<Store>>,
@@ -134,7 +143,8 @@
             request_wake: WakeTimer::default(),
             fleet_wake: WakeTimer::default(),
             feed_wake: WakeTimer::default(),
-            log_quota: Quota::default(),
+            log_quota: Quota::new(FAILURE_LINES),
+            sent_quota: Quota::new(SENT_LINES),
             unsent_replies: ConnectionTracker::default(),
             store: parts.store,
             health_checks: async_channel::unbounded(),
@@ -249,11 +259,19 @@
 
     fn handle_locked(self: &Arc<Self>, state: &mut State, event: Event) {
         let mut actions = std::mem::take(&mut state.actions);
-        state.kernel.handle(self.clock.now(), event, &mut actions);
+        let now = self.clock.now();
+        state.kernel.handle(now, event, &mut actions);
         for action in actions.drain(..) {
             match action {
                 Action::Fleet(action) => self.execute_fleet_action(action),
+                Action::Feed(FeedAction::Configured(snapshot)) => {
+                    self.log_configuration(&state.kernel, now.mono, &snapshot);
+                    self.apply_configuration(&snapshot);
+                }
                 Action::Feed(action) => self.execute_feed_action(&mut state.pending, action),
+                Action::Request(RequestAction::Report(report)) => {
+                    self.log_request_report(&state.kernel, now.mono, &report);
+                }
                 Action::Request(action) => self.execute_request_action(&mut state.pending, action),
             }
         }
@@ -263,7 +281,10 @@
     fn execute_fleet_action(&self, action: FleetAction) {
         match action {
             FleetAction::WakeAt(time) => self.fleet_wake.set(time),
-            FleetAction::Configured(snapshot) => self.apply_configuration(&snapshot),
+            FleetAction::Configured(snapshot) => {
+                slog::info!(self.log, "node: version in effect"; "version" => %snapshot.version.index);
+                self.apply_configuration(&snapshot);
+            }
             action => {
                 let _ = self.fleet_actions.0.try_send(action);
             }
@@ -271,7 +292,6 @@
     }
 
     fn apply_configuration(&self, snapshot: &Snapshot) {
-        slog::info!(self.log, "node: version in effect"; "version" => %snapshot.version.index);
         *self
             .caller_limits
             .lock()
@@ -304,15 +324,14 @@
                 let task = self.spawn_work(work, request, deadline);
                 pending.add_work(work, task);
             }
-            RequestAction::Report(report) => self.log_request_report(&report),
             RequestAction::ReportTarget(report) => self.log_target_report(report),
             RequestAction::Summarize(summary) => self.log_work_summary(&summary),
             RequestAction::Abort { work } => pending.cancel_work(work),
             RequestAction::CheckHealth { path } => {
                 let _ = self.health_checks.0.try_send(path);
             }
-            // The fleet state machine handles it.
-            RequestAction::CatchUp { .. } => {}
+            // The kernel and `handle_locked` handle these.
+            RequestAction::CatchUp { .. } | RequestAction::Report(_) => {}
             RequestAction::WakeAt(time) => self.request_wake.set(time),
             RequestAction::Drained => {
                 let _ = self.drained.0.try_send(());
--- a/crates/node/src/driver/quota.rs
+++ b/crates/node/src/driver/quota.rs
@@ -5,14 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Enough for the ordinary failures of one node, and a small part of its CPU time when
-/// every request fails.
-const LINES_PER_SECOND: u32 = 20;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Counter of the lines logged in the current second.
-#[derive(Default)]
 pub(super) struct Quota {
+    /// Lines that are logged in one second at most.
+    max_lines: u32,
     state: Mutex<State>,
 }
 
@@ -25,6 +23,14 @@
 }
 
 impl Quota {
+    /// Creates a limit on the lines logged in one second.
+    pub(super) fn new(max_lines: u32) -> Self {
+        Self {
+            max_lines,
+            state: Mutex::default(),
+        }
+    }
+
     /// Counts one line. Returns the number of lines suppressed before it, or `None` if
     /// this one is to be suppressed too.
     pub(super) fn take(&self, now: Instant) -> Option<u64> {
@@ -36,7 +42,7 @@
             state.window_start = Some(now);
             state.logged = 0;
         }
-        if state.logged >= LINES_PER_SECOND {
+        if state.logged >= self.max_lines {
             state.suppressed += 1;
             return None;
         }
--- a/crates/node/src/driver/report.rs
+++ b/crates/node/src/driver/report.rs
@@ -2,9 +2,17 @@
 
 use std::time::Instant;
 
+use celeryshore_kernel::Feed;
+use celeryshore_kernel::Kernel;
 use celeryshore_kernel::RequestReport;
+use celeryshore_kernel::RequestStep;
 use celeryshore_kernel::TargetReport;
 use celeryshore_kernel::WorkSummary;
+use celeryshore_model::Snapshot;
+use celeryshore_model::Time;
+use slog::KV;
+use slog::Record;
+use slog::Serializer;
 
 use super::Driver;
 
@@ -38,15 +46,54 @@
         }
     }
 
-    /// Logs a decision about a request, unless the quota of this second is used up.
-    pub(super) fn log_request_report(&self, report: &RequestReport) {
-        if let Some(suppressed) = self.log_quota.take(Instant::now()) {
+    /// Logs a decision about a request with the view that it was based on, unless the
+    /// quota of this second is used up.
+    pub(super) fn log_request_report(&self, kernel: &Kernel, now: Time, report: &RequestReport) {
+        let is_sent = matches!(report.step, RequestStep::Sent { .. });
+        let (quota, prefix) = if is_sent {
+            (&self.sent_quota, "forwarding")
+        } else {
+            (&self.log_quota, "requests")
+        };
+        if let Some(suppressed) = quota.take(Instant::now()) {
             let request = report.request.as_deref().map(String::from_utf8_lossy);
-            slog::info!(self.log, "requests: {}", report;
+            slog::info!(self.log, "{}: {}", prefix, report;
                 "request" => request.unwrap_or_default().as_ref(),
                 "remaining_ms" => report.remaining.as_millis(),
                 "version" => %report.version.index,
-                "left_out" => suppressed);
+                "left_out" => suppressed,
+                ViewFields { feed: kernel.feed.as_ref(), now });
+        }
+    }
+
+    /// Logs a configuration that takes effect, with its source.
+    pub(super) fn log_configuration(&self, kernel: &Kernel, now: Time, snapshot: &Snapshot) {
+        slog::info!(self.log, "node: version in effect";
+            "version" => %snapshot.version.index,
+            ViewFields { feed: kernel.feed.as_ref(), now });
+    }
+}
+
+/// Fields of a log line that say where the configuration in effect comes from: source,
+/// age in milliseconds, and the revisions with their eras. There are none without a feed.
+struct ViewFields<'a> {
+    feed: Option<&'a Feed>,
+    now: Time,
+}
+
+impl KV for ViewFields<'_> {
+    fn serialize(&self, _: &Record<'_>, out: &mut dyn Serializer) -> slog::Result {
+        let Some(view) = self.feed.map(|feed| feed.view(self.now)) else {
+            return Ok(());
+        };
+        if let Some(source) = view.source {
+            out.emit_arguments("source", &format_args!("{source}"))?;
+        }
+        if let Some(age) = view.age {
+            out.emit_u128("age_ms", age.as_millis())?;
         }
+        let [configuration, upstreams] = view.revisions;
+        out.emit_arguments("configuration", &format_args!("{configuration}"))?;
+        out.emit_arguments("upstreams", &format_args!("{upstreams}"))
     }
 }
--- a/crates/node/tests/log_lines.rs
+++ b/crates/node/tests/log_lines.rs
@@ -29,7 +29,9 @@
 /// Datagrams that the socket and the logger's queue can hold at once.
 const BATCH: usize = 64;
 
-fn start(vm: Vm, log: &str) -> Child {
+/// Starts a node and waits until it has a configuration. Returns its process and the
+/// number of requests that it refused meanwhile, each of which it logs.
+fn start(vm: Vm, log: &str) -> (Child, usize) {
     support::start_platform(vm, support::rules(&[vm]));
     let path = format!("{}/log-{log}-{vm:?}.yaml", env!("CARGO_TARGET_TMPDIR"));
     let settings = support::settings(vm, vm, &format!("log: {log}\n"));
@@ -41,8 +43,12 @@
         .spawn()
         .unwrap();
     support::wait_for(|| TcpStream::connect(vm.callers()).is_ok());
-    support::wait_for(|| call(vm.callers(), "GET", "/none", "").reason() == Some("no-route"));
-    process
+    let mut refused = 0;
+    support::wait_for(|| {
+        refused += 1;
+        call(vm.callers(), "GET", "/none", "").reason() == Some("no-route")
+    });
+    (process, refused)
 }
 
 fn terminate(process: &Child) {
@@ -65,7 +71,7 @@
     FakeServer::start(vm.target(), |mut stream| {
         let _ = read_message(&mut stream);
     });
-    let mut process = start(vm, "info");
+    let (mut process, refused) = start(vm, "info");
     let stdout = BufReader::new(process.stdout.take().unwrap());
     let start_time = Instant::now();
     let failures = 20 * LINES_PER_SECOND;
@@ -86,14 +92,14 @@
     // The last second may have too few failures for any line to be suppressed.
     let suppressed: usize = lines.iter().map(|line| suppressed(line)).sum();
     assert!(suppressed > 0, "{lines:?}");
-    assert_eq!(lines.len() + suppressed, failures + 1);
+    assert_eq!(lines.len() + suppressed, refused + failures + 1);
 }
 
 #[test]
 fn stalled_pipe() {
     let vm = Vm::next();
     FakeServer::target(vm, |_| reply_ok("whole"));
-    let mut process = start(vm, "debug");
+    let (mut process, _) = start(vm, "debug");
     let socket = UdpSocket::bind((vm.peer().ip(), 0)).unwrap();
     for i in 0..DATAGRAMS {
         socket.send_to(b"stray", vm.peer()).unwrap();
@@ -122,7 +128,7 @@
     FakeServer::start(vm.target(), |mut stream| {
         let _ = read_message(&mut stream);
     });
-    let mut process = start(vm, "info");
+    let (mut process, _) = start(vm, "info");
     drop(process.stdout.take());
     for _ in 0..2 * LINES_PER_SECOND {
         assert_eq!(call(vm.callers(), "POST", "/orders", "").status(), 502);
@@ -143,7 +149,7 @@
         let _ = read_message(&mut stream);
         thread::sleep(support::TEST_TIMEOUT);
     });
-    let mut process = start(vm, "info");
+    let (mut process, _) = start(vm, "info");
     let stdout = BufReader::new(process.stdout.take().unwrap());
     let mut caller = Caller::connect(vm.callers());
     caller.send("GET /stock HTTP/1.1\r\nhost: a\r\n\r\n");
--- a/crates/node/tests/published.rs
+++ b/crates/node/tests/published.rs
@@ -1,8 +1,12 @@
 //! A node that reads the platform's store through an adapter, with fakes for the store
 //! and for the target.
 
+use std::io::BufRead;
+use std::io::BufReader;
 use std::io::Write;
 use std::net::TcpStream;
+use std::process::Command;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -143,14 +147,7 @@
             }
         }
     });
-    let ip = vm.callers().ip();
-    let settings = support::settings(vm, vm, "").replace("vm: vm-1", &format!("vm: {ip}"));
-    let settings = settings.replace(
-        "  key: celeryshore/rules\n",
-        "  adapter: published-store\nservice: desk\n",
-    );
-    let settings = format!("{settings}ready: {}\n", vm.ready());
-    let node = support::start_unready(&settings);
+    let node = support::start_unready(&settings(vm, ""));
     wait_for(|| call(vm.ready(), "GET", "/v1/ready", "").status() == 200);
     let is_warm = || {
         call(vm.operators(), "GET", "/status", "")
@@ -161,6 +158,17 @@
     (node, vm, heads)
 }
 
+/// Returns the settings of a node that reads the store through the adapter.
+fn settings(vm: Vm, extra: &str) -> String {
+    let ip = vm.callers().ip();
+    let settings = support::settings(vm, vm, extra).replace("vm: vm-1", &format!("vm: {ip}"));
+    let settings = settings.replace(
+        "  key: celeryshore/rules\n",
+        "  adapter: published-store\nservice: desk\n",
+    );
+    format!("{settings}ready: {}\n", vm.ready())
+}
+
 /// Responds with a signature and the request identifier.
 fn signed(stream: &mut TcpStream, head: &str) -> bool {
     let id = header(head, "celeryshore-request-id");
@@ -429,3 +437,47 @@
     assert_eq!(caller.receive().expect("a response").status(), 200);
     assert!(start_time.elapsed() < Duration::from_secs(10));
 }
+
+/// The log says for one request which view of the configuration decided it.
+#[test]
+fn deciding_view() {
+    let vm = Vm::next();
+    start_store(vm);
+    FakeServer::start(vm.target(), move |mut stream| {
+        while let Some((head, _)) = read_message(&mut stream) {
+            if !signed(&mut stream, &head) {
+                return;
+            }
+        }
+    });
+    let path = format!("{}/deciding-view.yaml", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, settings(vm, "log: info\n")).unwrap();
+    let mut process = Command::new(env!("CARGO_BIN_EXE_celeryshore"))
+        .args(["--settings", &path])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    wait_for(|| TcpStream::connect(vm.ready()).is_ok());
+    wait_for(|| call(vm.ready(), "GET", "/v1/ready", "").status() == 200);
+    let mut caller = Caller::connect(vm.callers());
+    caller.send(request("GET", "/look/1", "a1") + &request("GET", "/none/", "a2"));
+    caller.receive().expect("a response");
+    assert_eq!(caller.receive().expect("a response").status(), 404);
+    let terminated = Command::new("kill").arg(process.id().to_string()).status();
+    assert!(terminated.unwrap().success());
+    let stdout = BufReader::new(process.stdout.take().unwrap());
+    let lines: Vec<_> = stdout.lines().map_while(Result::ok).collect();
+    assert!(process.wait().unwrap().success());
+    for id in ["request: a1", "request: a2"] {
+        let line = lines.iter().find(|l| l.contains(id)).expect("a line");
+        for field in [
+            "source: store",
+            "age_ms: ",
+            "version: 3",
+            "configuration: 9 of era 0",
+            "upstreams: 9 of era 0",
+        ] {
+            assert!(line.contains(field), "{field} in {line}");
+        }
+    }
+}
