Order values across eras of the store by their contents

Callers' requests reached targets that had reported that they leave, and nodes kept two texts under one version. Revisions alone decided which value is newer. A restored store holds older values under a later era, and gives what is written again a lower number than what was lost: a list that had such a rewrite was taken for the copy, for good; and a reader that started in the drill passed the copy to nodes that knew better.

Within an era the revision still decides, and so does a write after the section was read. Otherwise a registration is ordered by the target's incarnation and heartbeat, which the adapter now decodes, a configuration by its version and then its revision, and an outage that was ended stays ended while the copy's own entry is all that lists it. One rule for items of the store and of peers replaces three checks.

Ruled out: taking each listed item of a later era (lost_leaving fails then, a target that leaves serves again).

--- a/crates/kernel/src/feed/adapter.rs
+++ b/crates/kernel/src/feed/adapter.rs
@@ -17,6 +17,8 @@
 use celeryshore_model::ZoneName;
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
+use derive_more::FromStr;
 
 use super::Changes;
 use super::Item;
@@ -126,10 +128,18 @@
     pub state: UpstreamState,
     /// Incarnation of the target; a later start under the same name has another.
     pub incarnation: Incarnation,
+    /// Number of the heartbeat with which the target wrote the registration.
+    pub heartbeat: Heartbeat,
     /// Remaining time in cold start; zero if the target is warm.
     pub cold_remaining: Duration,
 }
 
+/// Number of a target's heartbeat; it increases within an incarnation.
+#[derive(
+    Clone, Copy, Debug, Default, Display, From, FromStr, PartialEq, Eq, Hash, PartialOrd, Ord,
+)]
+pub struct Heartbeat(pub u64);
+
 /// Adapter that is linked into this process.
 ///
 /// Adapters register themselves with [`inventory::submit!`].
--- a/crates/kernel/src/feed/catalog.rs
+++ b/crates/kernel/src/feed/catalog.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use celeryshore_model::Snapshot;
 use celeryshore_model::Version;
 use celeryshore_model::ZoneName;
@@ -16,6 +17,9 @@
 use super::Revision;
 use super::Section;
 use super::UpstreamRecord;
+use super::order;
+use super::order::KnownItem;
+use super::order::WriteOrder;
 
 /// Maximum number of tombstones that are kept for followers.
 const MAX_TOMBSTONES: usize = 256;
@@ -34,7 +38,7 @@
     Invalid(AdapterError),
 }
 
-/// Newest revision of each item by key, and the order in which the items changed.
+/// Newest value of each item by key, and the order in which the items changed.
 ///
 /// An item with the same decoded value as before does not count as a change.
 /// Targets write heartbeats that only increment a counter, and those must not be
@@ -56,6 +60,56 @@
     item: Item,
     record: Option<Record>,
     sequence: Sequence,
+    /// Latest registration under the key, also after its removal.
+    written: Option<WriteOrder>,
+    /// Revision number and value of an item without such an order before its removal.
+    ended: Option<(u64, Bytes)>,
+}
+
+impl Entry {
+    fn new(section: Section, item: Item, record: Option<Record>) -> Self {
+        Self {
+            section,
+            item,
+            written: WriteOrder::of(record.as_ref()),
+            record,
+            sequence: 0,
+            ended: None,
+        }
+    }
+
+    fn as_known(&self, section: Revision) -> KnownItem<'_> {
+        KnownItem {
+            item: &self.item,
+            record: self.record.as_ref(),
+            written: self.written,
+            ended: self.ended.as_ref(),
+            section,
+        }
+    }
+
+    /// Returns `true` if an item need not be decoded to see that it is not newer.
+    fn is_settled(&self, item: &Item) -> bool {
+        if self.item == *item {
+            return true;
+        }
+        self.section == Section::Upstreams
+            && self.item.revision.era == item.revision.era
+            && self.item.revision > item.revision
+    }
+
+    /// Replaces the value. The revision never decreases.
+    fn replace(&mut self, item: Item, record: Option<Record>) {
+        let written = WriteOrder::of(record.as_ref());
+        let removed = std::mem::replace(&mut self.item, item);
+        self.item.revision = self.item.revision.max(removed.revision);
+        if self.item.value.is_none() && self.written.is_none() {
+            let ended = removed.value.map(|value| (removed.revision.number, value));
+            self.ended = ended.or(self.ended.take());
+        }
+        self.written = written.or(self.written);
+        self.record = record;
+    }
 }
 
 impl Catalog {
@@ -92,28 +146,12 @@
         self.entries.get(key).map(|e| e.item.revision)
     }
 
-    /// Sets the revision of an item whose known value is kept.
-    pub(super) fn set_revision(&mut self, key: &ItemKey, revision: Revision) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.item.revision = revision;
-        }
-    }
-
-    /// Applies an item, unless the catalog has the same or a newer revision of it.
-    ///
-    /// A configuration with a higher version is applied whatever its revision. A node
-    /// that read an older copy of the store learns the configuration in effect from
-    /// its peers.
-    pub(super) fn apply(&mut self, section: Section, mut item: Item) -> ApplyOutcome {
-        if let Some(known) = self.entries.get(&item.key)
-            && known.item.revision >= item.revision
-        {
-            if !self.is_newer_version(known, &item) {
-                return ApplyOutcome::Unchanged;
-            }
-            item.revision = known.item.revision;
+    /// Applies an item, unless the catalog has the same or a newer value of it.
+    pub(super) fn apply(&mut self, section: Section, item: Item) -> ApplyOutcome {
+        let known = self.entries.get(&item.key);
+        if known.is_some_and(|known| known.is_settled(&item)) {
+            return ApplyOutcome::Unchanged;
         }
-        let known = self.entries.get_mut(&item.key);
         let record = match &item.value {
             Some(_) => self.adapter.decode(&item).map(Some),
             None => Ok(None),
@@ -122,23 +160,35 @@
             Ok(record) => (record, None),
             Err(problem) => (None, Some(problem)),
         };
-        if let Some(known) = known {
-            if is_unchanged(known.record.as_ref(), record.as_ref(), section) {
-                known.item.revision = item.revision;
-                return problem.map_or(ApplyOutcome::Unchanged, ApplyOutcome::Invalid);
-            }
-            self.by_sequence.remove(&known.sequence);
+        let outcome = |changed| problem.map_or(changed, ApplyOutcome::Invalid);
+        let Some(known) = self.entries.get_mut(&item.key) else {
+            self.insert(Entry::new(section, item, record));
+            return outcome(ApplyOutcome::Changed);
+        };
+        let section = self.revisions[known.section.index()];
+        if !known
+            .as_known(section)
+            .is_older_than(&item, record.as_ref())
+        {
+            return outcome(ApplyOutcome::Unchanged);
+        }
+        let is_changed = !order::is_same_content(known.record.as_ref(), record.as_ref());
+        known.replace(item, record);
+        if !is_changed {
+            return outcome(ApplyOutcome::Unchanged);
         }
+        self.by_sequence.remove(&known.sequence);
         self.latest += 1;
-        self.by_sequence.insert(self.latest, item.key.clone());
-        let entry = Entry {
-            section,
-            item,
-            record,
-            sequence: self.latest,
-        };
+        known.sequence = self.latest;
+        self.by_sequence.insert(self.latest, known.item.key.clone());
+        outcome(ApplyOutcome::Changed)
+    }
+
+    fn insert(&mut self, mut entry: Entry) {
+        self.latest += 1;
+        entry.sequence = self.latest;
+        self.by_sequence.insert(self.latest, entry.item.key.clone());
         self.entries.insert(entry.item.key.clone(), entry);
-        problem.map_or(ApplyOutcome::Changed, ApplyOutcome::Invalid)
     }
 
     /// Returns removals of the items of a section that are not in `listed`.
@@ -239,35 +289,9 @@
         })
     }
 
-    /// Returns `true` if `item` is a configuration with a higher version than `known`.
-    fn is_newer_version(&self, known: &Entry, item: &Item) -> bool {
-        let Some(Record::Configuration(snapshot)) = &known.record else {
-            return false;
-        };
-        if item.value.is_none() || item.value == known.item.value {
-            return false;
-        }
-        matches!(self.adapter.decode(item),
-            Ok(Record::Configuration(new)) if new.version > snapshot.version)
-    }
-
     fn records(&self) -> impl Iterator<Item = &Record> {
         self.entries
             .values()
             .filter_map(|entry| entry.record.as_ref())
     }
 }
-
-/// Returns `true` if the decoded value of an item stays the same.
-///
-/// The version of a configuration never decreases. If a configuration is removed
-/// or cannot be decoded, the previous one stays in effect.
-fn is_unchanged(known: Option<&Record>, new: Option<&Record>, section: Section) -> bool {
-    match (known, new) {
-        (Some(Record::Configuration(known)), Some(Record::Configuration(new))) => {
-            new.version <= known.version
-        }
-        (Some(Record::Configuration(_)), _) => section == Section::Configuration,
-        (known, new) => known == new,
-    }
-}
--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -12,8 +12,9 @@
 //! send, and `step` runs after every event: it builds a changed configuration,
 //! answers polls and starts reads. `section_reader` schedules the reads of one
 //! section of the store, and `peers` selects the peer to follow. `catalog` holds
-//! the newest revision of every item, `restore` decides what stays in effect after the
-//! store was restored from an older copy, and `compile` builds one [`Snapshot`] from
+//! the newest value of every item, `order` says which of two values is newer, `restore`
+//! decides what stays in effect after the store was restored from an older copy, and
+//! `compile` builds one [`Snapshot`] from
 //! it. An [`Adapter`] translates between a platform's wire format and these types.
 
 mod adapter;
@@ -22,6 +23,7 @@
 mod event;
 mod item;
 mod message;
+mod order;
 mod peers;
 mod responses;
 mod restore;
@@ -44,6 +46,7 @@
 pub use self::adapter::Adapter;
 pub use self::adapter::AdapterError;
 pub use self::adapter::AdapterPlugin;
+pub use self::adapter::Heartbeat;
 pub use self::adapter::Record;
 pub use self::adapter::UpstreamRecord;
 pub use self::adapter::find_adapter;
--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -60,11 +60,7 @@
         let next = self.next_fetch();
         let listed = self.readers[index].add_page(&page, now, next);
         for item in page.items {
-            if self.is_outdated_copy(section, &item) {
-                self.catalog.set_revision(&item.key, item.revision);
-            } else {
-                self.apply_from_store(now, section, item);
-            }
+            self.apply_from_store(now, section, item);
         }
         match listed {
             Ok(list) => {
--- a/crates/kernel/src/feed/restore.rs
+++ b/crates/kernel/src/feed/restore.rs
@@ -2,9 +2,8 @@
 //!
 //! A restored store has lost its latest changes and assigns their revisions again.
 //! Operators and targets then write again what was lost. Until they have, what a node
-//! knows goes before the copy: a configuration and a zone outage stay in effect, a
-//! missing target is removed only after the time in which it can register again, and
-//! a target that left stays removed until it writes to the restored store.
+//! knows goes before the copy: `order` keeps newer values, and what the copy lacks is
+//! removed only after the time in which it can be written again.
 
 use std::time::Duration;
 
@@ -74,16 +73,6 @@
         self.actions.push(FeedAction::Report(report));
     }
 
-    /// Returns `true` if a listed registration is older than what the node knows from
-    /// before the restore.
-    pub(super) fn is_outdated_copy(&self, section: Section, item: &Item) -> bool {
-        let known = self.catalog.item_revision(&item.key);
-        section == Section::Upstreams
-            && known.is_some_and(|known| {
-                known.era < item.revision.era && known.number >= item.revision.number
-            })
-    }
-
     /// Returns `true` if an item that is missing from a list may have been lost in a
     /// restore of the store.
     pub(super) fn is_lost_in_restore(&self, now: Time, missing: &Item) -> bool {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -49,6 +49,7 @@
 pub use crate::feed::FeedView;
 pub use crate::feed::FetchFailure;
 pub use crate::feed::FetchId;
+pub use crate::feed::Heartbeat;
 pub use crate::feed::Item;
 pub use crate::feed::ItemKey;
 pub use crate::feed::Page;
--- a/crates/kernel/tests/feed/support/mod.rs
+++ b/crates/kernel/tests/feed/support/mod.rs
@@ -14,6 +14,7 @@
 use celeryshore_kernel::FeedEvent;
 use celeryshore_kernel::FetchFailure;
 use celeryshore_kernel::FetchId;
+use celeryshore_kernel::Heartbeat;
 use celeryshore_kernel::Item;
 use celeryshore_kernel::ItemKey;
 use celeryshore_kernel::Page;
@@ -43,7 +44,7 @@
 
 /// Adapter whose values are a configuration index under the key `conf`, the name of a
 /// zone that is out of service under the key `outage`, and the address of an upstream
-/// under any other key.
+/// under any other key, if stated with `#` and the number of its heartbeat.
 #[derive(Debug)]
 pub struct TestAdapter;
 
@@ -86,6 +87,8 @@
         if item.key.as_str() == "outage" {
             return Ok(Record::ZoneOutage(text.parse().expect("valid zone")));
         }
+        let (text, heartbeat) = text.split_once('#').unwrap_or((text, "1"));
+        let heartbeat = heartbeat.parse().map_err(invalid)?;
         let addr: SocketAddr = text.parse().map_err(|_| AdapterError::HistoryGone)?;
         Ok(Record::Upstream(UpstreamRecord {
             name: item.key.as_str().parse().expect("valid name"),
@@ -95,6 +98,7 @@
             slots: Slots::new(6),
             state: UpstreamState::Serving,
             incarnation: Incarnation(1),
+            heartbeat: Heartbeat(heartbeat),
             cold_remaining: Duration::ZERO,
         }))
     }
