Answer a refused request before logging it

The example of Requests::handle expects the answer first; put the log entry before it, so the example failed. The answer goes out first again.

--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -129,13 +129,13 @@
                 self.answer(cx, id, retry::unknown_answer(Unknown::NotJudged));
             }
             Err(reason) => {
-                Call::report_refused(cx, request_id, reason);
                 let retry_after = RETRY_AFTER;
                 let answer = Answer::NotRun {
                     reason,
                     retry_after,
                 };
                 self.answer(cx, id, answer);
+                Call::report_refused(cx, request_id, reason);
             }
         }
     }
