End an outage that is not written again after a restore

A zone was out of service for good if its outage was lost in a restore and operators did not write it again: the removal was held back for 30 s, but only a later complete list looked again, and none is due. The removal is now kept with its time, and applied then.

Reads of changes that are in flight when another section or a peer states the next era are given up, since a connection from before the restore may stay silent for 2.5 s. A node that knows any item takes part in this, not only one that the store has confirmed.

--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -160,6 +160,7 @@
 /// Removal that is applied only after a grace period, unless the item comes back.
 #[derive(Debug)]
 struct DeferredRemoval {
+    section: Section,
     item: Item,
     until: Time,
 }
--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -238,8 +238,13 @@
         let until = grace_end.filter(|until| *until > now);
         match until {
             Some(until) if item.value.is_none() && section == Section::Upstreams => {
-                self.deferred_removals
-                    .insert(item.key.clone(), DeferredRemoval { item, until });
+                let key = item.key.clone();
+                let removal = DeferredRemoval {
+                    section,
+                    item,
+                    until,
+                };
+                self.deferred_removals.insert(key, removal);
             }
             _ => self.apply(section, item),
         }
--- a/crates/kernel/src/feed/restore.rs
+++ b/crates/kernel/src/feed/restore.rs
@@ -9,6 +9,7 @@
 
 use celeryshore_model::Time;
 
+use super::DeferredRemoval;
 use super::Era;
 use super::Feed;
 use super::FeedAction;
@@ -61,13 +62,13 @@
             return;
         }
         let known = std::mem::replace(&mut self.era, era);
-        if self.confirmed_at.is_none() {
+        if self.catalog.latest() == 0 {
             return;
         }
         self.restored_at = Some(now);
         self.store_recovered_at = Some(now);
         for reader in &mut self.readers {
-            reader.invalidate();
+            reader.invalidate(now);
         }
         let report = FeedReport::StoreRestored { known, era };
         self.actions.push(FeedAction::Report(report));
@@ -82,13 +83,25 @@
     }
 
     /// Handles the removal of an item that may have been lost in a restore.
+    ///
+    /// What operators wrote stays in effect until the time in which they write it again
+    /// is over.
     pub(super) fn defer_lost_item(&mut self, now: Time, section: Section, missing: Item) {
-        match section {
-            Section::Upstreams => self.apply_from_store(now, section, missing),
-            Section::Configuration => {
-                let report = FeedReport::ItemKept { key: missing.key };
-                self.actions.push(FeedAction::Report(report));
-            }
+        if section == Section::Upstreams {
+            self.apply_from_store(now, section, missing);
+            return;
         }
+        let report = FeedReport::ItemKept {
+            key: missing.key.clone(),
+        };
+        self.actions.push(FeedAction::Report(report));
+        let until = self.restored_at.unwrap_or(now) + REWRITE_GRACE;
+        let removal = DeferredRemoval {
+            section,
+            item: missing,
+            until,
+        };
+        self.deferred_removals
+            .insert(removal.item.key.clone(), removal);
     }
 }
--- a/crates/kernel/src/feed/section_reader.rs
+++ b/crates/kernel/src/feed/section_reader.rs
@@ -167,8 +167,15 @@
     }
 
     /// Records that the section is not known in the store's current era.
-    pub(super) const fn invalidate(&mut self) {
+    ///
+    /// A read of changes in flight is given up: a connection to the store before its
+    /// restore may stay silent until the deadline.
+    pub(super) fn invalidate(&mut self, now: Time) {
         self.needs_list = true;
+        if matches!(self.state, State::Watching { .. }) {
+            self.state = State::Idle;
+            self.next_at = now;
+        }
     }
 
     /// Ends the read in flight, whose response cannot be used, and requires a list.
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -45,9 +45,9 @@
         let due = self
             .deferred_removals
             .extract_if(.., |_, removal| removal.until <= now);
-        let due: Vec<_> = due.map(|(_, removal)| removal.item).collect();
-        for item in due {
-            self.apply(Section::Upstreams, item);
+        let due: Vec<_> = due.map(|(_, removal)| removal).collect();
+        for removal in due {
+            self.apply(removal.section, removal.item);
         }
     }
 
