Say that a route may exist while the view is outdated

It gave up each peer for the age of its view, but answered by its own, older one. 404 is final for callers; they do not come back.

A request without a route is now refused as behind, with a time to come back, while the view is as old as one that no node follows, or a peer has shown a newer version. routing::outdated_view failed before: no-route instead of behind.

--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -216,7 +216,8 @@
     #[display("out-of-service")]
     OutOfService,
     /// The admitting node's configuration is older than the one that the request was
-    /// routed under.
+    /// routed under, or the forwarding node has no route for the request and a newer
+    /// configuration may have one.
     #[display("behind")]
     Behind,
     /// The upstream or the request kind is not in the admitting node's configuration.
--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -35,7 +35,7 @@
 const MIN_STORE_OUTAGE: Duration = Duration::from_secs(1);
 /// Age beyond which a peer's data is too old to follow: the longest wait of a read
 /// of the store, plus one second for the transfer.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+pub(super) const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
 /// Time allowed for a peer's answer in addition to the requested wait.
 const PEER_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
 
--- a/crates/kernel/src/feed/status.rs
+++ b/crates/kernel/src/feed/status.rs
@@ -12,6 +12,7 @@
 use super::Revision;
 use super::Section;
 use super::SourceName;
+use super::responses::MAX_VIEW_AGE;
 use crate::DumpSection;
 use crate::Kernel;
 
@@ -64,6 +65,13 @@
         }
     }
 
+    /// Returns `true` if the store has not confirmed the data for so long that a newer
+    /// configuration may be in effect elsewhere.
+    #[must_use]
+    pub fn is_outdated(&self, now: Time) -> bool {
+        self.confirmed_at.is_some_and(|at| now - at > MAX_VIEW_AGE)
+    }
+
     /// Returns the status after the latest event.
     #[must_use]
     pub fn status(&self) -> FeedStatus {
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -110,6 +110,9 @@
             self.fleet
                 .handle(now, FleetEvent::Drain, &mut self.fleet_buf);
         }
+        if let Some(feed) = &self.feed {
+            self.requests.set_outdated(feed.is_outdated(now.mono));
+        }
         self.requests.handle(now, event, &mut self.request_buf);
     }
 
--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -109,7 +109,12 @@
             return Err(NotRun::Leaving);
         }
         let snapshot = cx.view.snapshot().ok_or(NotRun::Learning)?;
-        let kind = cx.view.route(&request, random).ok_or(NotRun::NoRoute)?;
+        let no_route = if cx.view.may_lack_route() {
+            NotRun::Behind
+        } else {
+            NotRun::NoRoute
+        };
+        let kind = cx.view.route(&request, random).ok_or(no_route)?;
         let service = snapshot.services.get(&kind.service);
         let service = service.ok_or(NotRun::NoRoute)?;
         let rule = service.kinds.get(&kind.kind).ok_or(NotRun::NoRoute)?;
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Records whether the store has not confirmed the configuration for a long time. The
+    /// node then refuses requests without a route as [`NotRun::Behind`](crate::NotRun).
+    pub const fn set_outdated(&mut self, is_outdated: bool) {
+        self.view.set_outdated(is_outdated);
+    }
+
     /// Handles one event and appends the resulting actions to `actions`.
     ///
     /// If a requested wake-up is overdue, it is handled first as a
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -38,6 +38,8 @@
     members: BTreeMap<VmName, MemberState>,
     /// Number of upstreams in each zone.
     zone_sizes: BTreeMap<ZoneName, u32>,
+    /// Whether the store has not confirmed the configuration for a long time.
+    is_outdated: bool,
     is_leaving: bool,
     is_forwarding_stopped: bool,
 }
@@ -54,6 +56,7 @@
             newest: Version::default(),
             members: BTreeMap::new(),
             zone_sizes: BTreeMap::new(),
+            is_outdated: false,
             is_leaving: false,
             is_forwarding_stopped: false,
         }
@@ -97,6 +100,16 @@
         self.newest > self.version()
     }
 
+    /// Records whether the store has not confirmed the configuration for a long time.
+    pub(super) const fn set_outdated(&mut self, is_outdated: bool) {
+        self.is_outdated = is_outdated;
+    }
+
+    /// Returns `true` if a newer configuration may have a route that this one lacks.
+    pub(super) fn may_lack_route(&self) -> bool {
+        self.is_outdated || self.is_behind()
+    }
+
     /// Returns `true` if there is a configuration and it is older than `version`.
     pub(super) fn is_older_than(&self, version: Version) -> bool {
         self.snapshot().is_some_and(|s| s.version < version)
--- a/crates/kernel/tests/common/mod.rs
+++ b/crates/kernel/tests/common/mod.rs
@@ -156,6 +156,12 @@
         self.nodes.insert(vm.clone(), node);
     }
 
+    /// Records at a node whether the store has not confirmed its configuration for long.
+    pub fn set_outdated(&mut self, vm: &str, is_outdated: bool) {
+        let node = self.nodes.get_mut(&name(vm)).expect("a node");
+        node.requests.set_outdated(is_outdated);
+    }
+
     /// Passes an event to a node and processes everything that results from it.
     pub fn send(&mut self, vm: &str, event: RequestEvent) {
         self.push(&name(vm), event);
--- a/crates/kernel/tests/routing.rs
+++ b/crates/kernel/tests/routing.rs
@@ -90,6 +90,23 @@
     assert!(mesh.history.is_empty());
 }
 
+/// A node that may be behind cannot say that there is no route.
+#[test]
+fn outdated_view() {
+    let mut mesh = Mesh::new(&Arc::new(ordering(&["glasgow"])));
+    let lost = HttpRequest {
+        path: "/stockings".into(),
+        ..stock()
+    };
+    for (is_outdated, expected) in [(true, NotRun::Behind), (false, NotRun::NoRoute)] {
+        mesh.set_outdated("vm-1", is_outdated);
+        let call = mesh.call("vm-1", lost.clone());
+        assert_eq!(refusal(&mesh, call), expected);
+    }
+    let call = mesh.call("vm-1", stock());
+    assert_eq!(mesh.runs.len(), 1, "{call:?} has a route");
+}
+
 #[test]
 fn nested_calls() {
     let mut mesh = Mesh::new(&Arc::new(ordering(&["glasgow"])));
