Ask peers until one answers, and first those of other zones

A node that starts in the drill reads the older copy, and asked one peer, once, for what the fleet knows.

While the store is lost, or its data outdated though no read has failed yet, nodes of other zones are asked first: those of the own zone share one view. That these are faster is not shown by a test: sources::zone_without_store passes without them.

A store that states its era is not taken for restored because of a lower revision alone.

--- a/crates/kernel/src/feed/mod.rs
+++ b/crates/kernel/src/feed/mod.rs
@@ -120,8 +120,12 @@
     era: Era,
     /// Time at which the latest restore of the store was noticed.
     restored_at: Option<Time>,
-    /// Whether a peer was polled since the start of the process.
-    has_polled_peer: bool,
+    /// Whether the store has stated its era in any response.
+    states_era: bool,
+    /// Whether a peer with confirmed data has answered since the start of the process.
+    has_peer_answer: bool,
+    /// Time of the latest poll of a random peer.
+    last_any_poll_at: Time,
     source: Option<SourceName>,
     /// Configuration in effect.
     snapshot: Option<Arc<Snapshot>>,
@@ -181,7 +185,9 @@
             store_recovered_at: None,
             era: Era::default(),
             restored_at: None,
-            has_polled_peer: false,
+            states_era: false,
+            has_peer_answer: false,
+            last_any_poll_at: Time::ZERO,
             source: None,
             snapshot: None,
             compiled_sequence: 0,
--- a/crates/kernel/src/feed/peers.rs
+++ b/crates/kernel/src/feed/peers.rs
@@ -152,14 +152,38 @@
         })
     }
 
-    /// Returns a random peer that may be polled, in any zone.
-    pub(super) fn choose_any(&self, now: Time, rng: &mut fastrand::Rng) -> Option<VmName> {
-        let usable = self
-            .known
-            .iter()
-            .filter(|(_, p)| p.failure_history.retry_at <= now);
-        let usable: Vec<_> = usable.map(|(vm, _)| vm).collect();
-        rng.choice(usable).cloned()
+    /// Returns a random peer to poll.
+    ///
+    /// With `prefers_other_zones` it is one of another zone if there is any. Load pattern:
+    /// a zone loses the store. Its nodes share one view, so that asking them again and
+    /// again only delays the news. While the store is known to be down, peers that failed
+    /// repeatedly may be polled too.
+    pub(super) fn choose_any(
+        &self,
+        now: Time,
+        is_store_down: bool,
+        prefers_other_zones: bool,
+        rng: &mut fastrand::Rng,
+    ) -> Option<VmName> {
+        let usable_at = |h: &FailureHistory| {
+            if is_store_down {
+                h.retry_at
+            } else {
+                h.eligible_at
+            }
+        };
+        let usable = self.known.iter();
+        let usable: Vec<_> = usable
+            .filter(|(_, p)| usable_at(&p.failure_history) <= now)
+            .collect();
+        let others = usable.iter().filter(|(_, p)| !p.is_same_zone);
+        let others: Vec<_> = others.copied().collect();
+        let candidates = if prefers_other_zones && !others.is_empty() {
+            others
+        } else {
+            usable
+        };
+        rng.choice(candidates).map(|(vm, _)| vm.clone())
     }
 
     /// Returns the earliest time after `now` at which a backoff of a peer ends.
@@ -179,7 +203,8 @@
         self.known.get(vm).and_then(|p| p.position)
     }
 
-    /// Records the position reached in the catalog of a peer.
+    /// Records the position reached in the catalog of a peer; absent if the peer has to
+    /// send all of it again.
     pub(super) fn set_position(&mut self, vm: &VmName, position: Position) {
         if let Some(peer) = self.known.get_mut(vm) {
             peer.position = Some(position);
--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -147,8 +147,9 @@
     /// Applies the answer of a peer.
     ///
     /// Unknown items at or before the known revision of their section are ignored,
-    /// because they have been removed since. The peer is skipped for a while if its
-    /// data is too old or was never confirmed by the store.
+    /// because they have been removed since; but an item of an earlier era that a peer
+    /// keeps in the current one is not. The peer is skipped for a while if its data is too
+    /// old, was never confirmed by the store, or is from before a restore.
     pub(super) fn on_answer(&mut self, now: Time, fetch: FetchId, answer: &CatalogAnswer) {
         let outgoing = self.outgoing_poll.take_if(|poll| poll.fetch == fetch);
         for revision in answer.revisions {
@@ -168,6 +169,7 @@
             self.catalog.advance(section, revision);
         }
         if let Some(age) = answer.age {
+            self.has_peer_answer = true;
             let at = Time::from_micros(now.as_micros().saturating_sub(micros(age)));
             self.confirmed_at = self.confirmed_at.max(Some(at));
         }
@@ -208,7 +210,6 @@
             wait,
         };
         let fetch = self.next_fetch();
-        self.has_polled_peer = true;
         self.outgoing_poll = Some(OutgoingPoll {
             fetch,
             vm: Some(vm),
--- a/crates/kernel/src/feed/restore.rs
+++ b/crates/kernel/src/feed/restore.rs
@@ -24,9 +24,9 @@
     /// Returns the era of a response of the store, or `None` if the response is from
     /// an earlier era and must be ignored.
     ///
-    /// A response without an era belongs to the latest known one. If the revision of
-    /// such a response is lower than one that was known when the read started, the
-    /// store has been restored since.
+    /// A response without an era belongs to the latest known one. If the store never
+    /// states its era and the revision of a response is lower than one that was known
+    /// when the read started, the store has been restored since.
     pub(super) fn response_era(
         &mut self,
         now: Time,
@@ -39,9 +39,10 @@
         let has_regressed = expected.era == self.era && number < expected.number;
         let era = match stated {
             Some(era) => era,
-            None if has_regressed => self.era.next(),
+            None if has_regressed && !self.states_era => self.era.next(),
             None => self.era,
         };
+        self.states_era |= stated.is_some();
         if era < self.era {
             let report = FeedReport::OutdatedResponse {
                 section,
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -20,6 +20,7 @@
 use super::SourceName;
 use super::compile;
 use super::peers::SourceChoice;
+use super::responses::MAX_VIEW_AGE;
 use super::section_reader::NextRead;
 use super::section_reader::STORE_POLL_WAIT;
 use super::section_reader::SectionReader;
@@ -151,7 +152,9 @@
         match choice {
             SourceChoice::Store => {
                 self.read_store(now);
-                let is_peer_needed = self.store_down_since.is_some() || self.is_first_poll_due();
+                let is_peer_needed = self.store_down_since.is_some()
+                    || self.is_first_poll_due()
+                    || self.is_outdated_poll_due(now);
                 if is_peer_needed && self.outgoing_poll.is_none() {
                     self.poll_any_peer(now);
                 }
@@ -221,20 +224,42 @@
             .any(|r| r.is_list_pending() && self.catalog.revision(r.section()).number == 0)
     }
 
-    /// Returns `true` if a node that reads the store has not polled a peer yet.
+    /// Returns `true` if a node that reads the store has no answer of a peer yet.
     ///
     /// The store may have been restored from an older copy before the node started.
     /// The peers then know a newer configuration than the store.
     fn is_first_poll_due(&self) -> bool {
-        !self.has_polled_peer && self.peers.len() > 0 && !self.is_initial_list_pending()
+        !self.has_peer_answer && self.peers.len() > 0 && !self.is_initial_list_pending()
     }
 
-    /// Polls a random peer while the store is unavailable, or once after the start.
+    /// Returns `true` if the store has not confirmed the data for a long time and no peer
+    /// was polled for it lately.
+    ///
+    /// A read of the store that gets no response fails only at its deadline. Until then
+    /// nodes of another zone may know newer data.
+    fn is_outdated_poll_due(&self, now: Time) -> bool {
+        self.outdated_poll_at().is_some_and(|at| at <= now)
+    }
+
+    /// Returns the time of the next poll of a peer because of outdated data.
+    fn outdated_poll_at(&self) -> Option<Time> {
+        let outdated_at = self.confirmed_at? + MAX_VIEW_AGE;
+        Some(outdated_at.max(self.last_any_poll_at + PEER_POLL_WAIT))
+    }
+
+    /// Polls a random peer while the store is unavailable or its data outdated, or once
+    /// after the start.
     ///
     /// Nodes of another zone may still reach the store. A node that has just started
     /// polls one of its seeds, because it knows no peers.
     fn poll_any_peer(&mut self, now: Time) {
-        if let Some(vm) = self.peers.choose_any(now, &mut self.rng) {
+        self.last_any_poll_at = now;
+        let is_store_down = self.store_down_since.is_some();
+        let has_lost_store = is_store_down || self.is_outdated(now);
+        if let Some(vm) = self
+            .peers
+            .choose_any(now, is_store_down, has_lost_store, &mut self.rng)
+        {
             self.poll_peer(now, vm, PEER_POLL_WAIT);
         } else if self.peers.len() == 0
             && let Some(seed) = self.rng.choice(self.cfg.seeds.iter().copied())
@@ -261,7 +286,11 @@
             .filter(|_| reads_store)
             .chain(self.pending_polls.values().map(|poll| poll.until))
             .chain(self.deferred_removals.values().map(|removal| removal.until))
-            .chain(self.peers.next_retry(now));
+            .chain(self.peers.next_retry(now))
+            .chain(
+                self.outdated_poll_at()
+                    .filter(|at| reads_store && *at > now),
+            );
         let wake_at = due.min();
         if let Some(at) = wake_at.filter(|_| wake_at != self.wake_at) {
             self.actions.push(FeedAction::WakeAt(at));
