Do not follow a peer that has not noticed a restore

A node that started in the drill lacked an outage, or a target, for good: it had read the copy in the new era and dropped the item that a peer sent from the era before, as removed since. When the peer then read the unchanged rewrite, nothing had changed for it, and it sent nothing more.

A peer with an earlier era than one's own is skipped and has to send all of its data again; an item that a peer of the current era keeps from the one before is taken.

--- a/crates/kernel/src/feed/event.rs
+++ b/crates/kernel/src/feed/event.rs
@@ -252,4 +252,7 @@
     /// The store has never confirmed the peer's data.
     #[display("it knows nothing yet")]
     Empty,
+    /// The peer does not know yet that the store was restored.
+    #[display("its view is from before the restore of the store")]
+    Behind,
 }
--- a/crates/kernel/src/feed/peers.rs
+++ b/crates/kernel/src/feed/peers.rs
@@ -205,9 +205,9 @@
 
     /// Records the position reached in the catalog of a peer; absent if the peer has to
     /// send all of it again.
-    pub(super) fn set_position(&mut self, vm: &VmName, position: Position) {
+    pub(super) fn set_position(&mut self, vm: &VmName, position: Option<Position>) {
         if let Some(peer) = self.known.get_mut(vm) {
-            peer.position = Some(position);
+            peer.position = position;
         }
     }
 
--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -155,8 +155,14 @@
         for revision in answer.revisions {
             self.observe_era(now, revision.era);
         }
+        let is_behind = Section::ALL.into_iter().any(|section| {
+            answer.revisions[section.index()].era < self.catalog.revision(section).era
+        });
         for (section, item) in &answer.items {
-            let is_covered = item.revision <= self.catalog.revision(*section);
+            let known = self.catalog.revision(*section);
+            let is_kept =
+                item.revision.era < known.era && answer.revisions[section.index()] >= known;
+            let is_covered = item.revision <= known && !is_kept;
             if !is_covered || self.catalog.contains(&item.key) {
                 self.apply(*section, item.clone());
             }
@@ -176,8 +182,10 @@
         let Some(vm) = outgoing.and_then(|poll| poll.vm) else {
             return;
         };
-        self.peers.set_position(&vm, answer.position);
+        let position = Some(answer.position).filter(|_| !is_behind);
+        self.peers.set_position(&vm, position);
         match answer.age {
+            Some(_) if is_behind => self.skip_peer(now, vm, PeerProblem::Behind),
             None => self.skip_peer(now, vm, PeerProblem::Empty),
             Some(age) if age > MAX_VIEW_AGE => self.skip_peer(now, vm, PeerProblem::Stale(age)),
             Some(_) => {}
