Remember that a target leaves while its record is gone

Statements are now forgotten only when another incarnation registers.

stated_leaving::vanished_record failed before: 20 requests, none due.

--- a/crates/kernel/src/requests/admission/local_target.rs
+++ b/crates/kernel/src/requests/admission/local_target.rs
@@ -83,10 +83,12 @@
         if !self.local_target.as_ref().is_some_and(is_same) {
             self.scheduler.reset(cx.now.mono);
         }
-        let is_same_process =
-            |old: &LocalTarget| own.as_ref().is_some_and(|new| old.is_same_process(new));
-        if !self.local_target.as_ref().is_some_and(is_same_process) {
-            self.forget_statement();
+        // A record may vanish and come back while its target goes on running.
+        if let Some(new) = &own {
+            let stated_by = self.stated_by.replace(new.clone());
+            if !stated_by.is_some_and(|old| old.is_same_process(new)) {
+                self.forget_statement();
+            }
         }
         self.local_target = own;
     }
--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -123,6 +123,8 @@
     has_response: bool,
     /// Whether the local target states that it is about to leave.
     is_target_leaving: bool,
+    /// Latest registered target, whose statements are known.
+    stated_by: Option<LocalTarget>,
     /// Number of responses whose rate limit could not be read.
     unreadable_limits: u64,
     /// Whether the latest one could not be read.
@@ -150,6 +152,7 @@
             heard_at: None,
             has_response: false,
             is_target_leaving: false,
+            stated_by: None,
             unreadable_limits: 0,
             is_limit_unreadable: false,
         }
--- a/crates/kernel/tests/stated_leaving.rs
+++ b/crates/kernel/tests/stated_leaving.rs
@@ -140,3 +140,24 @@
     mesh.call("vm-1", stock());
     assert_eq!(mesh.history.len(), 2);
 }
+
+/// The target's record vanishes and comes back, as after a restore of the platform's
+/// store, while the target goes on leaving.
+#[test]
+fn vanished_record() {
+    let (mut mesh, snapshot) = mesh();
+    let mut without = snapshot.clone();
+    without.version.index.0 += 1;
+    without.upstreams.retain(|_, u| u.vm != name("vm-1"));
+    for service in without.services.values_mut() {
+        let upstreams = &without.upstreams;
+        service.upstreams.retain(|u| upstreams.contains_key(u));
+    }
+    let mut with = snapshot;
+    with.version.index.0 += 2;
+    mesh.send_all(&RequestEvent::Configured(Arc::new(without)));
+    mesh.send_all(&RequestEvent::Configured(Arc::new(with)));
+    call_often(&mut mesh, "vm-2");
+    call_often(&mut mesh, "vm-1");
+    assert_eq!(runs_at(&mesh, "vm-1"), 0);
+}
