Limit what a node keeps from an earlier era by itself

A zone stayed out of service for good at some nodes after an outage, two drills and the end of the outage. A peer keeps what a restored store lacks for a while. A node that learned the item, or the new era, from that peer took its revision as complete, watched the store from there, and so never missed the item.

A node that takes an item of an earlier era from a peer sets its own time for the removal. A node that knows items of an earlier era only reads a list before it watches. Peers learn that an item was written again even if its content is the same; a configuration, which is kept without a limit, is left out of this.

--- a/crates/kernel/src/feed/catalog.rs
+++ b/crates/kernel/src/feed/catalog.rs
@@ -172,7 +172,12 @@
         {
             return outcome(ApplyOutcome::Unchanged);
         }
-        let is_changed = !order::is_same_content(known.record.as_ref(), record.as_ref());
+        // Peers may keep an item of an earlier era for a while only, so that they have to
+        // learn that it was written again. A configuration is kept without a limit.
+        let is_confirmed = known.item.revision.era < item.revision.era
+            && !matches!(record, Some(Record::Configuration(_)));
+        let is_changed =
+            is_confirmed || !order::is_same_content(known.record.as_ref(), record.as_ref());
         known.replace(item, record);
         if !is_changed {
             return outcome(ApplyOutcome::Unchanged);
@@ -224,6 +229,16 @@
         Some(entries.map(|e| (e.section, e.item.clone())).collect())
     }
 
+    /// Returns `true` if an item of a section is known from an earlier era only.
+    ///
+    /// A peer may keep such an item for a while, and only a list says whether the store
+    /// has it again.
+    pub(super) fn has_unconfirmed(&self, section: Section) -> bool {
+        let era = self.revision(section).era;
+        let mut items = self.entries.values().filter(|e| e.section == section);
+        items.any(|e| e.item.value.is_some() && e.item.revision.era < era)
+    }
+
     /// Returns `true` if the catalog has the item or its tombstone.
     pub(super) fn contains(&self, key: &ItemKey) -> bool {
         self.entries.contains_key(key)
--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -9,7 +9,6 @@
 use super::CatalogAnswer;
 use super::CatalogRequest;
 use super::Changes;
-use super::DeferredRemoval;
 use super::Feed;
 use super::FeedAction;
 use super::FeedReport;
@@ -28,7 +27,7 @@
 /// Time after a store outage within which targets that are alive register again if
 /// their registrations expired: the two seconds that the platform guarantees, plus
 /// the time of one read.
-const EXPIRY_GRACE: Duration = Duration::from_millis(2_200);
+pub(super) const EXPIRY_GRACE: Duration = Duration::from_millis(2_200);
 /// Shortest store outage in which registrations may have expired. Targets renew
 /// them, and an occasional broken connection is not an outage. A removal that is
 /// deferred without need uses up most of the time that a leaving target is given.
@@ -162,6 +161,9 @@
             let known = self.catalog.revision(*section);
             let is_kept =
                 item.revision.era < known.era && answer.revisions[section.index()] >= known;
+            if is_kept && !self.catalog.contains(&item.key) {
+                self.keep_lost_item(now, *section, &item.key, known);
+            }
             let is_covered = item.revision <= known && !is_kept;
             if !is_covered || self.catalog.contains(&item.key) {
                 self.apply(*section, item.clone());
@@ -247,13 +249,7 @@
         let until = grace_end.filter(|until| *until > now);
         match until {
             Some(until) if item.value.is_none() && section == Section::Upstreams => {
-                let key = item.key.clone();
-                let removal = DeferredRemoval {
-                    section,
-                    item,
-                    until,
-                };
-                self.deferred_removals.insert(key, removal);
+                self.defer_removal(section, item, until);
             }
             _ => self.apply(section, item),
         }
--- a/crates/kernel/src/feed/restore.rs
+++ b/crates/kernel/src/feed/restore.rs
@@ -15,7 +15,10 @@
 use super::FeedAction;
 use super::FeedReport;
 use super::Item;
+use super::ItemKey;
+use super::Revision;
 use super::Section;
+use super::responses::EXPIRY_GRACE;
 
 /// Time after a restore within which operators write their lost changes again.
 const REWRITE_GRACE: Duration = Duration::from_secs(30);
@@ -97,12 +100,38 @@
         };
         self.actions.push(FeedAction::Report(report));
         let until = self.restored_at.unwrap_or(now) + REWRITE_GRACE;
+        self.defer_removal(section, missing, until);
+    }
+
+    /// Limits the time for which an item that a peer keeps from an earlier era stays,
+    /// unless it is written again after `revision`.
+    pub(super) fn keep_lost_item(
+        &mut self,
+        now: Time,
+        section: Section,
+        key: &ItemKey,
+        revision: Revision,
+    ) {
+        let grace = match section {
+            Section::Configuration => REWRITE_GRACE,
+            Section::Upstreams => EXPIRY_GRACE,
+        };
+        let removal = Item {
+            key: key.clone(),
+            revision,
+            value: None,
+        };
+        self.defer_removal(section, removal, now + grace);
+    }
+
+    /// Schedules a removal, in place of an earlier one of the same item.
+    pub(super) fn defer_removal(&mut self, section: Section, item: Item, until: Time) {
+        let key = item.key.clone();
         let removal = DeferredRemoval {
             section,
-            item: missing,
+            item,
             until,
         };
-        self.deferred_removals
-            .insert(removal.item.key.clone(), removal);
+        self.deferred_removals.insert(key, removal);
     }
 }
--- a/crates/kernel/src/feed/section_reader.rs
+++ b/crates/kernel/src/feed/section_reader.rs
@@ -112,6 +112,12 @@
         self.backoff.failures() > 0
     }
 
+    /// Returns `true` if the section was not read since the start of the process or the
+    /// latest restore of the store.
+    pub(super) const fn needs_list(&self) -> bool {
+        self.needs_list
+    }
+
     /// Returns `true` if a list has to be read and the latest read did not fail.
     pub(super) const fn is_list_pending(&self) -> bool {
         self.needs_list && self.backoff.failures() == 0
--- a/crates/kernel/src/feed/step.rs
+++ b/crates/kernel/src/feed/step.rs
@@ -186,7 +186,9 @@
             let section = self.readers[index].section();
             let after = self.catalog.revision(section);
             let is_current = after.number > 0 && after.era == self.era;
-            let has_revision = is_current && !self.readers[index].has_lost_history();
+            let has_revision = is_current
+                && !self.readers[index].has_lost_history()
+                && !(self.readers[index].needs_list() && self.catalog.has_unconfirmed(section));
             let Some(next) = self.readers[index].next_read(now, has_revision) else {
                 continue;
             };
