Do not take the age of a peer's data from before a restore

A node that knew the new era took the age that a peer of the earlier era stated for its own data, so an older view passed as a fresh one for up to 3 s: routes could be denied by it, and peers went on following it. The age now counts only if the peer knows the same eras.

restore::age_of_earlier_era failed before: age 0 s, 2 s due.

--- a/crates/kernel/src/feed/responses.rs
+++ b/crates/kernel/src/feed/responses.rs
@@ -179,7 +179,9 @@
         if let Some(age) = answer.age {
             self.has_peer_answer = true;
             let at = Time::from_micros(now.as_micros().saturating_sub(micros(age)));
-            self.confirmed_at = self.confirmed_at.max(Some(at));
+            if !is_behind {
+                self.confirmed_at = self.confirmed_at.max(Some(at));
+            }
         }
         let Some(vm) = outgoing.and_then(|poll| poll.vm) else {
             return;
--- a/crates/kernel/tests/feed/restore.rs
+++ b/crates/kernel/tests/feed/restore.rs
@@ -241,3 +241,17 @@
     node.send(FeedEvent::PeerAnswered { fetch, answer });
     assert_eq!(node.index(), Some(Index(7)));
 }
+
+/// A peer's data from before the restore says nothing about how old the data of the new
+/// era is.
+#[test]
+fn age_of_earlier_era() {
+    let mut node = reader();
+    let page = restored(vec![registration(VMS[0], 2)], 9);
+    node.relist(StoreSection::Upstreams, page);
+    node.advance(2_000);
+    let (fetch, _) = node.take_poll().expect("poll after the start");
+    let answer = peer_answer(0, 90, Vec::new());
+    node.send(FeedEvent::PeerAnswered { fetch, answer });
+    assert_eq!(node.feed.status().age, Some(Duration::from_secs(2)));
+}
