Lend credits to the owner's own node at once, and after a restart

A restarted owner lent nothing for the lifetime of its former credits.

Change: a request without a credit uses what the owner on its VM answered. A restarted owner lends at once and counts what it may have lent before as lent. Buckets are shallower, so that a full or restarted one fills at 0.9 of the rate.

--- a/crates/kernel/src/requests/quota/budget.rs
+++ b/crates/kernel/src/requests/quota/budget.rs
@@ -24,9 +24,9 @@
 const MAX_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Divisor of the credits beyond the rate: the part that is kept as spare credits.
 const SPARE_DIVISOR: u64 = 8;
-/// Share of the rate at which a full bucket fills. It is above the usual load of a
-/// workspace; the rest of the rate makes the buckets deeper.
-const FULL_BUCKET_SHARE: Share = Share::from_per_mille(750);
+/// Share of the rate at which a full bucket fills, and the bucket of a restarted owner at
+/// first. The rest of the rate makes the buckets deeper.
+const FULL_BUCKET_SHARE: Share = Share::from_per_mille(900);
 const FULL: u64 = 1_000;
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/crates/kernel/src/requests/quota/limit.rs
+++ b/crates/kernel/src/requests/quota/limit.rs
@@ -62,16 +62,15 @@
             }
             Some(size) => {
                 let is_new = !self.limits.contains_key(&name);
-                // Credits of an earlier incarnation may still be used, or nodes with the
-                // older list may still borrow from the former owner.
-                let start = match (is_new, self.is_configured) {
-                    (true, true) => now,
-                    (true, false) => now.max(self.started + budget.lifetime),
-                    (false, _) => now + self.terms.window,
-                };
+                // Nodes with the older list may still borrow from the former owner.
                 let part = self.parts.entry(name.clone());
-                part.and_modify(|part| part.set_budget(now, budget.part(size)))
-                    .or_insert_with(|| Part::new(start, budget.part(size)));
+                let owned = budget.part(size);
+                part.and_modify(|part| part.set_budget(now, owned))
+                    .or_insert_with(|| match (is_new, self.is_configured) {
+                        (true, true) => Part::new(now, owned),
+                        (true, false) => Part::after_restart(now, self.started, owned),
+                        (false, _) => Part::new(now + self.terms.window, owned),
+                    });
             }
         }
         let old_spare = self.limits.get(&name).and_then(|limit| limit.spare_from);
--- a/crates/kernel/src/requests/quota/mod.rs
+++ b/crates/kernel/src/requests/quota/mod.rs
@@ -151,18 +151,20 @@
         let Some(usage) = self.usages.get_mut(workspace) else {
             return Ok(());
         };
-        let result = match usage.take(now) {
-            Some(credit) => {
-                self.open.insert(call, (workspace.clone(), credit));
-                Ok(())
-            }
-            None => Err(usage.retry_after(now, limit.quota.rate)),
-        };
+        let rate = limit.quota.rate;
+        let credit = usage.take(now);
+        let is_admitted = credit.is_some();
+        if let Some(credit) = credit {
+            self.open.insert(call, (workspace.clone(), credit));
+        }
         self.ask(now, workspace, actions);
-        if result.is_err() {
-            self.report(now, workspace, actions);
+        // An owner on this VM has already answered.
+        if is_admitted || self.admit_waiting(now, call, workspace) {
+            return Ok(());
         }
-        result
+        self.report(now, workspace, actions);
+        let usage = self.usages.get_mut(workspace);
+        Err(usage.map_or(Duration::ZERO, |usage| usage.retry_after(now, rate)))
     }
 
     /// Admits a call that was refused before for lack of a credit and waits for one.
--- a/crates/kernel/src/requests/quota/part.rs
+++ b/crates/kernel/src/requests/quota/part.rs
@@ -31,6 +31,13 @@
     is_short: bool,
 }
 
+/// Credits that an earlier incarnation of the owner may have lent.
+#[derive(Clone, Copy, Debug)]
+struct FormerLoans {
+    count: Credits,
+    ends_at: Time,
+}
+
 /// Bucket of an owner, and the loans from it.
 ///
 /// The credits in the bucket and those lent never exceed the depth of the part together,
@@ -46,6 +53,8 @@
     loans: BTreeMap<VmName, Loan>,
     /// Credits of open calls, with the times at which they end.
     open: VecDeque<(Time, u64)>,
+    /// Absent unless the process has restarted.
+    former: Option<FormerLoans>,
     lent_total: u64,
 }
 
@@ -71,16 +80,35 @@
             peak: Peak::new(budget.window, start, budget.depth),
             loans: BTreeMap::new(),
             open: VecDeque::new(),
+            former: None,
             lent_total: 0,
         }
     }
 
+    /// Creates the bucket of a process that started at `started` and may have had an earlier
+    /// incarnation.
+    ///
+    /// What that one lent stays usable for the lifetime of its credits, and for the time in
+    /// which refused calls give credits back. It counts as lent for as long.
+    pub(super) fn after_restart(now: Time, started: Time, budget: Budget) -> Self {
+        let former = FormerLoans {
+            count: budget.depth,
+            ends_at: started + budget.lifetime + OPEN_TIME,
+        };
+        Self {
+            former: Some(former),
+            ..Self::new(now, budget)
+        }
+    }
+
     /// Applies a changed quota or a changed share of it.
     pub(super) fn set_budget(&mut self, now: Time, budget: Budget) {
         self.fill(now);
         self.budget = budget;
         self.level = self.level.min(budget.depth.minus(self.outstanding()));
-        self.peak.cap(budget.depth);
+        let former = self.former.filter(|f| now <= f.ends_at + budget.window);
+        let former = former.map_or(Credits::default(), |f| f.count);
+        self.peak.cap(budget.depth.plus(former));
     }
 
     /// Returns the rate at which the bucket fills.
@@ -151,7 +179,10 @@
             .pop_front_if(|(ends_at, _)| *ends_at < now)
             .is_some()
         {}
-        self.peak.observe(now, self.level.plus(outstanding));
+        let former = self.former.filter(|f| now <= f.ends_at);
+        let former = former.map_or(Credits::default(), |f| f.count);
+        let lent = outstanding.plus(former);
+        self.peak.observe(now, self.level.plus(lent));
     }
 
     /// Returns the credits that nodes may still use.
--- a/crates/kernel/tests/quotas/requests.rs
+++ b/crates/kernel/tests/quotas/requests.rs
@@ -16,8 +16,12 @@
 
 use crate::common;
 use crate::common::deployment;
+use crate::mesh::Mesh;
 use crate::mesh::WINDOW;
 
+/// Length of the quota window.
+const WINDOW_MILLIS: u64 = 5_000;
+
 fn deployment(rate: u64, slots: u32) -> Snapshot {
     let mut snapshot = deployment::ordering(&["aa", "ab", "ac"]);
     deployment::tune(&mut snapshot, |service| {
@@ -124,3 +128,20 @@
     assert!(mesh.status("vm-1").quotas.is_empty());
     assert_eq!(mesh.quota_messages, 0);
 }
+
+/// Guards against a refusal although the owner on the caller's VM lends a credit.
+#[test]
+fn own_credit() {
+    let mut mesh = Mesh::new(3, &[("free", 28, 17)], 1);
+    let workspace = "free".parse().expect("valid workspace");
+    mesh.run(20_000);
+    let owner = {
+        mesh.request(0, &workspace, true);
+        mesh.run(2_000);
+        mesh.owner("free")
+    };
+    mesh.run(WINDOW_MILLIS);
+    // The first request uses the node's spare credit, the second needs one of its own part.
+    assert!(mesh.request(owner, &workspace, true));
+    assert!(mesh.request(owner, &workspace, true));
+}
