--- a/crates/kernel/src/requests/quota/check.rs
+++ b/crates/kernel/src/requests/quota/check.rs
@@ -23,10 +23,28 @@
         };
         let usage = self.usages.get(workspace).cloned();
         let mut copy = usage.unwrap_or_else(|| self.new_usage(limit));
-        match copy.take(now) {
-            Some(_) => Ok(()),
-            None => Err(copy.retry_after(now, limit.quota.rate)),
+        if copy.take(now).is_some() || self.has_own_credit(now, workspace, &mut copy) {
+            return Ok(());
+        }
+        Err(copy.retry_after(now, limit.quota.rate))
+    }
+
+    /// Returns `true` if this node owns a part of the quota and would lend itself a credit.
+    fn has_own_credit(&self, now: Time, workspace: &WorkspaceName, usage: &mut Usage) -> bool {
+        let Some(mut part) = self.parts.get(workspace).cloned() else {
+            return false;
+        };
+        let Some(ask) = usage.next_ask(now, self.last_number + 1) else {
+            return false;
+        };
+        if ask.owner.vm != self.vm {
+            return false;
+        }
+        let ask = self.message(workspace, &ask);
+        if let Some(lent) = part.lend(now, &ask) {
+            usage.accept(now, &lent.answer(&ask));
         }
+        usage.take_waiting(now).is_some()
     }
 
     /// Returns the state of a workspace that has had no callers here.
--- a/crates/kernel/src/requests/quota/mod.rs
+++ b/crates/kernel/src/requests/quota/mod.rs
@@ -245,14 +245,7 @@
     /// Sends the asks of a workspace that are due, and notes when the next one is.
     fn ask(&mut self, now: Time, workspace: &WorkspaceName, actions: &mut Vec<RequestAction>) {
         while let Some(ask) = self.next_ask(now, workspace) {
-            let message = QuotaAsk {
-                workspace: workspace.clone(),
-                number: ask.number,
-                vm: self.vm.clone(),
-                wanted: ask.wanted,
-                held: ask.held,
-                open: ask.open,
-            };
+            let message = self.message(workspace, &ask);
             if ask.owner.vm != self.vm {
                 let to = ask.owner.peer;
                 let message = message.into();
@@ -266,6 +259,17 @@
         self.set_due(now, workspace);
     }
 
+    fn message(&self, workspace: &WorkspaceName, ask: &Ask) -> QuotaAsk {
+        QuotaAsk {
+            workspace: workspace.clone(),
+            number: ask.number,
+            vm: self.vm.clone(),
+            wanted: ask.wanted,
+            held: ask.held,
+            open: ask.open,
+        }
+    }
+
     fn next_ask(&mut self, now: Time, workspace: &WorkspaceName) -> Option<Ask> {
         let usage = self.usages.get_mut(workspace)?;
         let ask = usage.next_ask(now, self.last_number + 1)?;
@@ -293,11 +297,6 @@
             interval: None,
         };
         let lent = part.map_or(Some(none), |part| part.lend(now, ask));
-        lent.filter(|_| is_known).map(|lent| QuotaAnswer {
-            workspace: ask.workspace.clone(),
-            number: ask.number,
-            lent: lent.count,
-            interval: lent.interval,
-        })
+        lent.filter(|_| is_known).map(|lent| lent.answer(ask))
     }
 }
--- a/crates/kernel/src/requests/quota/part.rs
+++ b/crates/kernel/src/requests/quota/part.rs
@@ -14,6 +14,7 @@
 use super::budget::Budget;
 use super::credits::Credits;
 use super::message::OPEN_TIME;
+use super::message::QuotaAnswer;
 use super::message::QuotaAsk;
 use super::peak::Peak;
 
@@ -42,7 +43,7 @@
 ///
 /// The credits in the bucket and those lent never exceed the depth of the part together,
 /// so no more than the depth and what fills the bucket can be used in a window.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Part {
     budget: Budget,
     level: Credits,
@@ -67,6 +68,18 @@
     pub(super) interval: Option<Duration>,
 }
 
+impl Lent {
+    /// Returns the answer to an ask.
+    pub(super) fn answer(self, ask: &QuotaAsk) -> QuotaAnswer {
+        QuotaAnswer {
+            workspace: ask.workspace.clone(),
+            number: ask.number,
+            lent: self.count,
+            interval: self.interval,
+        }
+    }
+}
+
 impl Part {
     /// Creates an empty bucket that fills from `start` on. `budget` is that of the part.
     ///
--- a/crates/kernel/src/requests/quota/peak.rs
+++ b/crates/kernel/src/requests/quota/peak.rs
@@ -19,7 +19,7 @@
 }
 
 /// Maximum over a sliding window.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Peak {
     window: Duration,
     /// Values that no later one reaches.
