Serve on after SIGTERM until the callers are gone

Change: a stopped node is not ready but serves at full rate until it has denied two readiness checks and no caller has come for 250 ms, at the latest for two thirds of the grace period. Then it finishes its work and ends at once. Calls of its target's runs are told apart by their identifiers.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -151,6 +151,8 @@
 pub use crate::requests::RequestsConfig;
 pub use crate::requests::RequestsStatus;
 pub use crate::requests::RetryTerms;
+pub use crate::requests::StopStep;
+pub use crate::requests::StopTerms;
 pub use crate::requests::TargetReport;
 pub use crate::requests::Terms;
 pub use crate::requests::WorkId;
--- a/crates/kernel/src/requests/admission/admit.rs
+++ b/crates/kernel/src/requests/admission/admit.rs
@@ -93,6 +93,7 @@
         let remaining = work.deadline - since;
         let dialect = &cx.view.cfg().terms.dialect;
         let mut request = work.handover.request.clone();
+        self.runs.insert(id, headers::request_id(dialect, &request));
         headers::set_call_fields(dialect, &mut request, work.handover.depth, remaining);
         headers::set_expected_target(dialect, &mut request, &work.handover.upstream);
         if cx.view.workspaces().are_required() {
--- a/crates/kernel/src/requests/admission/expiry.rs
+++ b/crates/kernel/src/requests/admission/expiry.rs
@@ -169,6 +169,7 @@
 
     fn remove(&mut self, cx: &mut Context<'_>, id: WorkId, outcome: KeyOutcome) {
         self.deadlines.cancel(id.into());
+        self.runs.remove(id);
         let work = self.work_items.remove(&id);
         if let Some(copy) = work.and_then(|w| w.copy) {
             self.finish_key(cx, &copy, outcome);
--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -44,6 +44,7 @@
 mod rate_limit;
 mod report;
 mod run_times;
+mod runs;
 mod scheduler;
 mod shares;
 mod siblings;
@@ -59,6 +60,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use celeryshore_model::Dialect;
+use celeryshore_model::HttpRequest;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
 use celeryshore_model::VmName;
@@ -69,6 +72,7 @@
 use self::duplicate_check::DuplicateCheck;
 use self::kind_stats::KindStats;
 use self::local_target::LocalTarget;
+use self::runs::Runs;
 use self::scheduler::Scheduler;
 use self::task::DuplicateCheckId;
 use self::task::ParkedId;
@@ -91,6 +95,7 @@
 use crate::requests::WorkId;
 use crate::requests::context::Context;
 use crate::requests::context::Origin;
+use crate::requests::headers;
 use crate::requests::sizes::body_size;
 use crate::requests::timers::Timers;
 
@@ -110,6 +115,8 @@
     duplicate_checks: BTreeMap<DuplicateCheckId, DuplicateCheck>,
     /// Pending inquiries of the duplicate checks.
     inquiries: BTreeMap<ExchangeId, DuplicateCheckId>,
+    /// Runs by the identifiers of their requests.
+    runs: Runs,
     /// Tasks whose reply is awaited, to end them if their origin withdraws.
     origins: BTreeMap<Origin, Task>,
     deadlines: Timers<Task>,
@@ -145,6 +152,7 @@
             parked: BTreeMap::new(),
             duplicate_checks: BTreeMap::new(),
             inquiries: BTreeMap::new(),
+            runs: Runs::default(),
             origins: BTreeMap::new(),
             deadlines: Timers::new(),
             last_number: 0,
@@ -250,6 +258,7 @@
             return;
         };
         self.deadlines.cancel(id.into());
+        self.runs.remove(id);
         self.record_crash_evidence(cx, &work, &outcome);
         self.observe(cx, &work, &outcome);
         if let Some(copy) = &work.copy {
@@ -266,6 +275,12 @@
         self.start_queued(cx);
     }
 
+    /// Returns `true` if a request is a call of a run at the local target, by its identifier.
+    pub(super) fn is_call(&self, dialect: &Dialect, request: &HttpRequest) -> bool {
+        let parent = headers::parent_id(dialect, request);
+        parent.is_some_and(|id| self.runs.find(&id).is_some())
+    }
+
     const fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
--- a/crates/kernel/src/requests/counters.rs
+++ b/crates/kernel/src/requests/counters.rs
@@ -27,13 +27,34 @@
     pub runs: u64,
     /// Requests cancelled at the local target.
     pub aborts: u64,
+    /// Calls answered by a target while the node was stopping or draining.
+    pub answered_while_leaving: u64,
+    /// Calls refused meanwhile.
+    pub refused_while_leaving: u64,
 }
 
 impl RequestCounters {
     /// Counts the actions that result from one event.
-    pub(super) fn count(&mut self, actions: &[RequestAction]) {
+    pub(super) fn count(&mut self, actions: &[RequestAction], is_leaving: bool) {
         for action in actions {
             self.count_one(action);
+            if is_leaving {
+                self.count_while_leaving(action);
+            }
+        }
+    }
+
+    const fn count_while_leaving(&mut self, action: &RequestAction) {
+        match action {
+            RequestAction::Answer {
+                answer: Answer::Response(_),
+                ..
+            } => self.answered_while_leaving += 1,
+            RequestAction::Answer {
+                answer: Answer::NotRun { .. },
+                ..
+            } => self.refused_while_leaving += 1,
+            _ => {}
         }
     }
 
@@ -52,6 +73,7 @@
             | RequestAction::SendQuota { .. }
             | RequestAction::ReportQuota(_)
             | RequestAction::ReportTarget(_)
+            | RequestAction::ReportStop(_)
             | RequestAction::Summarize(_)
             | RequestAction::Reply { .. }
             | RequestAction::CatchUp { .. }
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::requests::context::Loopback;
 use crate::requests::context::Origin;
 use crate::requests::forwarding::Forwarder;
+use crate::requests::forwarding::RequestSource;
 
 /// The two roles of a node.
 #[derive(Debug)]
@@ -35,9 +36,12 @@
     fn dispatch(&mut self, cx: &mut Context<'_>, event: RequestEvent) {
         match event {
             RequestEvent::Arrived { call, request } => {
-                let run_priority = self.admission.run_priority();
-                self.forwarder
-                    .handle_request(cx, call, request, run_priority);
+                let dialect = &cx.view.cfg().terms.dialect;
+                let source = RequestSource {
+                    is_call: self.admission.is_call(dialect, &request),
+                    run_priority: self.admission.run_priority(),
+                };
+                self.forwarder.handle_request(cx, call, request, source);
             }
             RequestEvent::Cancelled { call } => self.forwarder.handle_cancellation(cx, call),
             RequestEvent::Received { inbound, request } => {
@@ -89,7 +93,7 @@
                 self.forwarder.handle_member_state(cx, &vm, state);
                 self.admission.handle_member_state(cx, &vm, state);
             }
-            RequestEvent::Drain => {}
+            RequestEvent::Stop | RequestEvent::ReadinessDenied | RequestEvent::Drain => {}
         }
     }
 
--- a/crates/kernel/src/requests/event.rs
+++ b/crates/kernel/src/requests/event.rs
@@ -22,6 +22,7 @@
 use crate::QuotaReport;
 use crate::RequestReport;
 use crate::ResponseStatement;
+use crate::StopStep;
 use crate::TargetReport;
 use crate::Unknown;
 use crate::WorkSummary;
@@ -127,6 +128,11 @@
     },
     /// The time requested by [`RequestAction::WakeAt`] has passed.
     Tick,
+    /// This process is to end. The node goes on serving until its callers have gone
+    /// elsewhere, and then drains.
+    Stop,
+    /// The platform asked whether the node is ready for callers, and was told that it isn't.
+    ReadinessDenied,
     /// This node has to leave the fleet. It refuses new work and finishes the work in
     /// progress.
     Drain,
@@ -245,13 +251,16 @@
     ReportQuota(Box<QuotaReport>),
     /// Log a decision about a request.
     Report(Box<RequestReport>),
+    /// Log a step in the stop of the node.
+    ReportStop(StopStep),
     /// Log that the target states something new about itself.
     ReportTarget(TargetReport),
     /// Log a summary of the recent work of one request kind at the local target.
     Summarize(Box<WorkSummary>),
     /// Send [`RequestEvent::Tick`] at this time.
     WakeAt(Time),
-    /// Report that all work is finished after [`RequestEvent::Drain`].
+    /// Report that all work is finished after [`RequestEvent::Stop`] or
+    /// [`RequestEvent::Drain`].
     Drained,
 }
 
--- a/crates/kernel/src/requests/forwarding/checks.rs
+++ b/crates/kernel/src/requests/forwarding/checks.rs
@@ -5,6 +5,7 @@
 
 use crate::NotRun;
 use crate::requests::context::ReadContext;
+use crate::requests::forwarding::RequestSource;
 use crate::requests::headers;
 use crate::requests::view::Destination;
 
@@ -12,12 +13,16 @@
 pub(super) type Result<T> = std::result::Result<T, NotRun>;
 
 /// Routes a request. `random` chooses among the splits of the route.
+///
+/// A node that has stopped forwarding still forwards the calls of its target's runs, which
+/// would fail without them.
 pub(super) fn route(
     cx: ReadContext<'_>,
     request: &HttpRequest,
+    source: RequestSource,
     random: u64,
 ) -> Result<Destination> {
-    if cx.view.is_forwarding_stopped() {
+    if cx.view.is_forwarding_stopped() && !source.is_call {
         return Err(NotRun::Leaving);
     }
     if cx.view.snapshot().is_none() {
--- a/crates/kernel/src/requests/forwarding/explain.rs
+++ b/crates/kernel/src/requests/forwarding/explain.rs
@@ -8,6 +8,7 @@
 
 use super::Forwarder;
 use super::RETRY_AFTER;
+use super::RequestSource;
 use super::balancer;
 use super::balancer::Balancer;
 use super::call::Call;
@@ -35,7 +36,7 @@
         explanation: &mut Explanation,
     ) {
         let mut rng = self.balancer.rng();
-        let destination = checks::route(cx, request, rng.u64(..));
+        let destination = checks::route(cx, request, RequestSource::default(), rng.u64(..));
         let kind = destination.as_ref().ok().map(|to| to.kind.to_string());
         explanation.kind = kind;
         let call = destination.and_then(|to| self.new_call(cx, request.clone(), to));
--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -75,6 +75,15 @@
 /// the slowest links of VMs longer than a small one may wait.
 const LARGE_RESPONSE: ByteSize = ByteSize::new(16 * 1_024);
 
+/// Where a request comes from: a caller, or a run of the local target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RequestSource {
+    /// Whether it is known to be a call of such a run.
+    pub(super) is_call: bool,
+    /// Priority of the most urgent run of the local target.
+    pub(super) run_priority: Option<Priority>,
+}
+
 /// State of the caller requests that this node forwards.
 #[derive(Debug)]
 pub(super) struct Forwarder {
@@ -139,24 +148,23 @@
         due.into_iter().flatten().min()
     }
 
-    /// Routes a caller's request and forwards it, or refuses it at once. `run_priority` is
-    /// that of the most urgent run of the local target.
+    /// Routes a caller's request and forwards it, or refuses it at once.
     pub(super) fn handle_request(
         &mut self,
         cx: &mut Context<'_>,
         id: CallId,
         request: HttpRequest,
-        run_priority: Option<Priority>,
+        source: RequestSource,
     ) {
         let earlier = Resend::of(&request);
         let name = cx.view.cfg().terms.dialect.request_id.as_ref();
         let request_id = name.and_then(|name| request.header(name)).cloned();
-        let destination = checks::route(cx.read(), &request, self.balancer.random());
+        let destination = checks::route(cx.read(), &request, source, self.balancer.random());
         let kind = destination.as_ref().ok().map(|to| to.kind.clone());
         match destination.and_then(|to| self.new_call(cx.read(), request, to)) {
             Ok(mut call) => {
                 let is_ranked = cx.view.cfg().terms.urgent_slots && call.depth.get() > 0;
-                call.caller_priority = run_priority.filter(|_| is_ranked);
+                call.caller_priority = source.run_priority.filter(|_| is_ranked);
                 self.start_within_quota(cx, id, call);
             }
             Err(reason) if resend::may_have_run(reason, earlier) => {
--- a/crates/kernel/src/requests/headers.rs
+++ b/crates/kernel/src/requests/headers.rs
@@ -29,6 +29,19 @@
 /// Status code of a target that limits the request rate.
 const TOO_MANY_REQUESTS: u16 = 429;
 
+/// Returns the identifier of a request, if the dialect has a field for it.
+pub(super) fn request_id<'a>(dialect: &Dialect, request: &'a HttpRequest) -> Option<&'a Bytes> {
+    request.header(dialect.request_id.as_ref()?)
+}
+
+/// Returns the identifier of the run that made a request, as far as its own one says.
+pub(super) fn parent_id(dialect: &Dialect, request: &HttpRequest) -> Option<Bytes> {
+    let separator = dialect.call_separator?;
+    let id = request_id(dialect, request)?;
+    let end = id.iter().rposition(|byte| *byte == separator)?;
+    Some(id.slice(..end))
+}
+
 /// Returns the value of a header field as a number, if it is one.
 pub(super) fn number(request: &HttpRequest, name: &[u8]) -> Option<u64> {
     let value = request.header(name)?;
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -47,6 +47,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use celeryshore_model::HttpRequest;
 use celeryshore_model::Incarnation;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
@@ -84,6 +85,7 @@
 pub use self::journal::KeyedCopy;
 use self::lifecycle::Lifecycle;
 use self::lifecycle::Stage;
+pub use self::lifecycle::StopStep;
 pub use self::link::LARGE_SHARE;
 pub use self::link::LARGE_TRANSFER;
 use self::link::Link;
@@ -105,6 +107,7 @@
 pub use self::terms::CrashEvidence;
 pub use self::terms::QuotaTerms;
 pub use self::terms::RetryTerms;
+pub use self::terms::StopTerms;
 pub use self::terms::Terms;
 use self::view::View;
 use crate::MemberState;
@@ -124,11 +127,6 @@
     pub terms: Terms,
 }
 
-/// Time after the start of a drain in which new calls are still forwarded to other
-/// nodes, because callers may have no other node to go to. It is two thirds of a
-/// grace period of six seconds; the rest is left to finish the accepted calls.
-const FORWARDING_GRACE: Duration = Duration::from_secs(4);
-
 /// State machine for requests, as forwarding node and as admitting node.
 #[derive(Debug)]
 pub struct Requests {
@@ -144,8 +142,8 @@
     counters: RequestCounters,
     wake_at: Option<Time>,
     stage: Stage,
-    /// When the drain began. The node keeps forwarding calls for a while, even
-    /// after the work at its local target is finished.
+    /// When the stop or the drain began. The node keeps forwarding calls for a while,
+    /// because callers may have no other node to go to.
     leaving_since: Option<Time>,
     /// Time of the latest event.
     last_event_at: Time,
@@ -248,14 +246,15 @@
     /// ```
     pub fn handle(&mut self, now: Now, event: RequestEvent, actions: &mut Vec<RequestAction>) {
         let earlier = actions.len();
+        let was_leaving = self.stage.leaving_since().is_some();
         self.last_event_at = now.mono;
         self.freeze_detector.observe(now.mono, self.wake_at);
-        self.update_view(now, &event);
+        self.update_view(now, &event, actions);
         if self.wake_at.is_some_and(|at| at <= now.mono) {
             self.dispatch(now, RequestEvent::Tick, actions);
         }
         self.dispatch(now, event, actions);
-        self.counters.count(&actions[earlier..]);
+        self.counters.count(&actions[earlier..], was_leaving);
         self.finish_event(actions);
     }
 
@@ -282,6 +281,7 @@
             self.dispatcher.forwarder.next_due(),
             self.dispatcher.admission.next_due(self.last_event_at),
             self.quotas.next_due(),
+            self.stage.next_due(),
         ];
         let wake_at = due.into_iter().flatten().min();
         if let Some(at) = wake_at.filter(|_| wake_at != self.wake_at) {
@@ -290,14 +290,14 @@
         self.wake_at = wake_at;
         let is_idle = self.dispatcher.forwarder.open_count() == 0
             && self.dispatcher.admission.open_count() == 0;
-        if is_idle && self.stage.draining_since().is_some() {
+        if is_idle && self.stage.is_draining() {
             self.replace_stage(Stage::finish);
             actions.push(RequestAction::Drained);
         }
     }
 
     /// Updates the view and the lifecycle before the event is dispatched.
-    fn update_view(&mut self, now: Now, event: &RequestEvent) {
+    fn update_view(&mut self, now: Now, event: &RequestEvent, actions: &mut Vec<RequestAction>) {
         match event {
             RequestEvent::Configured(snapshot) => {
                 self.view.configure(now, snapshot.clone());
@@ -313,18 +313,41 @@
                 }
             }
             RequestEvent::Drain => self.drain(now),
+            RequestEvent::Stop => self.stop(now, actions),
+            RequestEvent::ReadinessDenied => self.stage.record_failed_check(now.mono),
+            RequestEvent::Arrived { request, .. } if !self.is_own_call(request) => {
+                self.stage.record_request(now.mono);
+            }
             RequestEvent::Received { request, .. } => self.view.observe_version(request.version()),
             RequestEvent::Replied { reply, .. } => self.view.observe_version(reply.version()),
             _ => {}
         }
+        if let Some(step) = self.stage.stop_end(now.mono) {
+            actions.push(RequestAction::ReportStop(step));
+            self.drain(now);
+        }
         let is_over = self.is_forwarding_over(now.mono);
         self.view.set_forwarding_stopped(is_over);
     }
 
     /// Returns `true` if the node has been leaving for so long that it forwards no new calls.
     fn is_forwarding_over(&self, now: Time) -> bool {
+        let longest = self.view.cfg().terms.stop.longest;
         self.leaving_since
-            .is_some_and(|since| now - since > FORWARDING_GRACE)
+            .is_some_and(|since| now - since > longest)
+    }
+
+    /// Returns `true` if a request is a call of a run at the local target.
+    fn is_own_call(&self, request: &HttpRequest) -> bool {
+        let dialect = &self.view.cfg().terms.dialect;
+        self.dispatcher.admission.is_call(dialect, request)
+    }
+
+    fn stop(&mut self, now: Now, actions: &mut Vec<RequestAction>) {
+        self.leaving_since.get_or_insert(now.mono);
+        let longest = self.view.cfg().terms.stop.longest;
+        self.replace_stage(|stage| stage.stop(now.mono, longest));
+        actions.push(RequestAction::ReportStop(StopStep::Stopping));
     }
 
     fn drain(&mut self, now: Now) {
--- a/crates/kernel/src/requests/status.rs
+++ b/crates/kernel/src/requests/status.rs
@@ -48,7 +48,7 @@
     pub incarnation: Incarnation,
     /// Configuration version that requests are routed by.
     pub version: Version,
-    /// Lifecycle state of the node: `serving`, `draining` or `drained`.
+    /// Lifecycle state of the node: `serving`, `stopping`, `draining` or `drained`.
     pub stage: &'static str,
     /// Monotonic time at which the process started.
     pub started: Time,
--- a/crates/kernel/src/requests/terms.rs
+++ b/crates/kernel/src/requests/terms.rs
@@ -33,6 +33,8 @@
     pub link: Option<BitRate>,
     /// How exactly quotas of workspaces are enforced.
     pub quota: QuotaTerms,
+    /// How a node stops.
+    pub stop: StopTerms,
     /// Age of the configuration from which requests that need a key are refused; absent
     /// if the keys last known apply without a limit.
     pub key_expiry: Option<Duration>,
@@ -86,6 +88,21 @@
     }
 }
 
+/// How a node stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopTerms {
+    /// Longest time for which a stopping node goes on serving.
+    pub longest: Duration,
+}
+
+impl Default for StopTerms {
+    fn default() -> Self {
+        Self {
+            longest: Duration::from_secs(4),
+        }
+    }
+}
+
 /// How exactly quotas of workspaces are enforced. In no window may more requests run than
 /// the quota allows for it, with the overage and the slack.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/kernel/tests/common/network.rs
+++ b/crates/kernel/tests/common/network.rs
@@ -123,6 +123,7 @@
             RequestAction::CheckHealth { .. } => self.health_checks += 1,
             RequestAction::Report(_)
             | RequestAction::ReportTarget(_)
+            | RequestAction::ReportStop(_)
             | RequestAction::ReportQuota(_) => {}
             RequestAction::SendQuota { to, message } => self.send_quota(vm, to, message),
             RequestAction::Summarize(summary) => self.summaries.push(*summary),
--- a/crates/model/src/dialect.rs
+++ b/crates/model/src/dialect.rs
@@ -29,6 +29,8 @@
     pub reason: Option<Bytes>,
     /// Identifier of a request, which is repeated on its response.
     pub request_id: Option<Bytes>,
+    /// Character that separates the identifier of a run from the rest in those of its calls.
+    pub call_separator: Option<u8>,
     /// Signature that a target puts on each of its responses.
     pub signature: Option<Bytes>,
     /// Name of the intended target; any other target refuses the request.
@@ -93,6 +95,7 @@
             outcome: Some(name(b"celeryshore-outcome")),
             reason: Some(name(b"celeryshore-reason")),
             request_id: None,
+            call_separator: None,
             signature: None,
             expected_target: None,
             caller_service: None,
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -35,6 +36,9 @@
 /// Highest number of requests of one connection whose responses wait to be written.
 const MAX_PIPELINED: usize = 32;
 
+/// Interval of the checks whether a connection that is to close still waits for a response.
+const UNANSWERED_POLL: Duration = Duration::from_millis(20);
+
 /// State that the reader and the writer of a connection share.
 struct Session<'a> {
     callers: &'a Arc<Callers>,
@@ -186,14 +190,12 @@
             }
         };
         let draining = async {
-            self.guard.closing().await;
-            loop {
-                let deadline = Instant::now() + self.callers.limits.leaving;
-                self.callers.driver.timers.sleep_until(deadline).await;
-                if self.unanswered.load(Ordering::Relaxed) == 0 {
-                    return Ok(false);
-                }
+            self.guard.ending().await;
+            while self.unanswered.load(Ordering::Relaxed) > 0 {
+                let next = Instant::now() + UNANSWERED_POLL;
+                self.callers.driver.timers.sleep_until(next).await;
             }
+            Ok(false)
         };
         started.or(idle).or(draining).await
     }
--- a/crates/node/src/callers/tracker.rs
+++ b/crates/node/src/callers/tracker.rs
@@ -11,9 +11,8 @@
 /// Counts the callers' connections and tells them when to close.
 pub(crate) struct ConnectionTracker {
     count: Arc<Mutex<usize>>,
-    /// Dropped to signal `closing`.
-    close: Mutex<Option<Sender<()>>>,
-    closing: Receiver<()>,
+    closing: Signal,
+    ending: Signal,
     /// Every guard holds a clone, so that `empty` is signalled when the last
     /// connection ends.
     alive: Mutex<Option<Sender<()>>>,
@@ -24,17 +23,33 @@
 pub(crate) struct ConnectionGuard {
     count: Arc<Mutex<usize>>,
     closing: Receiver<()>,
+    ending: Receiver<()>,
     _alive: Sender<()>,
 }
 
+/// Signal that is given once, by dropping the sender.
+struct Signal {
+    tx: Mutex<Option<Sender<()>>>,
+    rx: Receiver<()>,
+}
+
+impl Default for Signal {
+    fn default() -> Self {
+        let (tx, rx) = async_channel::bounded(1);
+        Self {
+            tx: Mutex::new(Some(tx)),
+            rx,
+        }
+    }
+}
+
 impl Default for ConnectionTracker {
     fn default() -> Self {
-        let (close, closing) = async_channel::bounded(1);
         let (alive, empty) = async_channel::bounded(1);
         Self {
             count: Arc::default(),
-            close: Mutex::new(Some(close)),
-            closing,
+            closing: Signal::default(),
+            ending: Signal::default(),
             alive: Mutex::new(Some(alive)),
             empty,
         }
@@ -53,15 +68,20 @@
         *count += 1;
         Some(ConnectionGuard {
             count: self.count.clone(),
-            closing: self.closing.clone(),
+            closing: self.closing.rx.clone(),
+            ending: self.ending.rx.clone(),
             _alive: alive,
         })
     }
 
-    /// Tells all connections to close: idle ones after a short delay, the others
-    /// after their response.
+    /// Tells all connections to close after their next response.
     pub(crate) fn close(&self) {
-        lock(&self.close).take();
+        lock(&self.closing.tx).take();
+    }
+
+    /// Tells the idle connections to close at once.
+    pub(crate) fn close_idle(&self) {
+        lock(&self.ending.tx).take();
     }
 
     /// Rejects new connections and waits until all open ones have ended.
@@ -77,9 +97,9 @@
 }
 
 impl ConnectionGuard {
-    /// Waits until the connections are told to close.
-    pub(crate) async fn closing(&self) {
-        let _ = self.closing.recv().await;
+    /// Waits until idle connections are told to close.
+    pub(crate) async fn ending(&self) {
+        let _ = self.ending.recv().await;
     }
 
     /// Returns `true` once the connections are told to close.
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -347,6 +347,7 @@
             }
             RequestAction::ReportQuota(report) => self.log_quota_report(&report),
             RequestAction::ReportTarget(report) => self.log_target_report(report),
+            RequestAction::ReportStop(step) => slog::info!(self.log, "node: {}", step),
             RequestAction::Summarize(summary) => self.log_work_summary(&summary),
             RequestAction::Abort { work } => pending.cancel_work(work),
             RequestAction::CheckHealth { path } => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,6 +20,7 @@
 use celeryshore_kernel::RequestEvent;
 use celeryshore_kernel::RequestsConfig;
 use celeryshore_kernel::RetryTerms;
+use celeryshore_kernel::StopTerms;
 use celeryshore_kernel::Terms;
 use celeryshore_model::Incarnation;
 use celeryshore_model::Share;
@@ -190,19 +191,16 @@
         self.addresses
     }
 
-    /// Refuses new requests, finishes those in flight, and stops the node.
-    ///
-    /// For a short time the node still accepts connections, so that callers whose requests
-    /// are already on the way get a refusal instead of a broken connection.
+    /// Stops the node: it goes on serving until its callers have gone elsewhere, refuses new
+    /// requests then, and finishes those in flight.
     pub async fn drain(self) {
         let driver = &self.callers.driver;
-        slog::info!(driver.log(), "node: draining");
         self.callers.tracker.close();
-        driver.handle(RequestEvent::Drain);
-        Timer::after(self.callers.limits.leaving).await;
+        driver.handle(RequestEvent::Stop);
         let finished = async {
             driver.wait_drained().await;
             cancel_all(self.accept_tasks).await;
+            self.callers.tracker.close_idle();
             self.callers.tracker.wait_until_empty().await;
             driver.unsent_replies.wait_until_empty().await;
         };
@@ -315,6 +313,9 @@
         terms: Terms {
             link: settings.link,
             quota: quota_terms(settings),
+            stop: StopTerms {
+                longest: settings.limits.leaving(),
+            },
             ..store.map_or_else(Terms::default, |store| request_terms(settings, store))
         },
     };
--- a/crates/node/src/operators/metrics.rs
+++ b/crates/node/src/operators/metrics.rs
@@ -24,6 +24,8 @@
 const UNREADABLE_LIMITS: &str = "celeryshore_target_unreadable_limits_total";
 /// Requests that didn't start at once though a slot was free.
 const HELD_REQUESTS: &str = "celeryshore_target_held_requests_total";
+const LEAVING_ANSWERED: &str = "celeryshore_leaving_answered_total";
+const LEAVING_REFUSED: &str = "celeryshore_leaving_refused_total";
 const TARGET_REQUESTS: &str = "celeryshore_target_requests_total";
 const QUOTA_REFUSALS: &str = "celeryshore_quota_refusals_total";
 /// Workspaces that have a counter of their own, in the order of their names.
@@ -91,6 +93,8 @@
     let requests = kernel.requests.status();
     metrics::counter!(UNREADABLE_LIMITS).absolute(requests.unreadable_limits);
     metrics::counter!(HELD_REQUESTS).absolute(requests.held_requests);
+    metrics::counter!(LEAVING_ANSWERED).absolute(requests.counters.answered_while_leaving);
+    metrics::counter!(LEAVING_REFUSED).absolute(requests.counters.refused_while_leaving);
     let rate_limit = requests.statement.and_then(|s| s.rate_limit);
     metrics::gauge!(RATE_LIMIT)
         .set(rate_limit.map_or(f64::INFINITY, |rate| to_f64(rate.per_mille()) / 1_000.0));
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use async_io::Async;
+use celeryshore_kernel::RequestEvent;
 use celeryshore_model::ByteSize;
 use celeryshore_model::HttpRequest;
 use celeryshore_model::HttpResponse;
@@ -123,6 +124,10 @@
     if Status::of(&operators.callers.driver).is_ready() {
         return Page::text("ready\n");
     }
+    operators
+        .callers
+        .driver
+        .handle(RequestEvent::ReadinessDenied);
     Page::NotReady
 }
 
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -14,6 +14,9 @@
 const DEFAULT_CONNECTIONS: usize = 1_024;
 const DEFAULT_IDLE: Duration = Duration::from_mins(1);
 const DEFAULT_LEAVING: Duration = Duration::from_secs(1);
+/// Share of the grace period in which a stopping node goes on serving. The rest is left to
+/// finish the work in progress.
+const LEAVING_SHARE: (u32, u32) = (2, 3);
 
 /// Limits at the callers' port. If the configuration sets limits too, its limits replace
 /// `body` and `idle`, and the smaller header limit applies.
@@ -31,10 +34,37 @@
     /// Time without progress after which a connection is closed.
     #[serde(deserialize_with = "idle")]
     pub idle: Duration,
-    /// Time for which a draining node keeps idle connections and accepts new ones, so
-    /// that a request already sent is answered.
+    /// Longest time for which a node that was told to stop goes on serving; two thirds of
+    /// `grace` if absent.
     #[serde(deserialize_with = "leaving")]
-    pub leaving: Duration,
+    pub leaving: Option<Duration>,
+    /// Time after which the platform kills a process that it has told to stop.
+    #[serde(deserialize_with = "grace")]
+    pub grace: Option<Duration>,
+}
+
+impl SettingsLimits {
+    /// Returns the longest time for which a node that was told to stop goes on serving.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use celeryshore_node::SettingsLimits;
+    ///
+    /// let limits = SettingsLimits {
+    ///     grace: Some(Duration::from_secs(6)),
+    ///     ..SettingsLimits::default()
+    /// };
+    /// assert_eq!(limits.leaving(), Duration::from_secs(4));
+    /// ```
+    #[must_use]
+    pub fn leaving(&self) -> Duration {
+        let (numerator, denominator) = LEAVING_SHARE;
+        let share = self.grace.map(|grace| grace * numerator / denominator);
+        self.leaving.or(share).unwrap_or(DEFAULT_LEAVING)
+    }
 }
 
 impl Default for SettingsLimits {
@@ -44,7 +74,8 @@
             body: ByteSize::new(DEFAULT_BODY_BYTES),
             connections: DEFAULT_CONNECTIONS,
             idle: DEFAULT_IDLE,
-            leaving: DEFAULT_LEAVING,
+            leaving: None,
+            grace: None,
         }
     }
 }
@@ -61,8 +92,12 @@
     parse_field("idle", humantime::parse_duration, d)
 }
 
-fn leaving<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
-    parse_field("leaving", humantime::parse_duration, d)
+fn leaving<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
+    parse_field("leaving", humantime::parse_duration, d).map(Some)
+}
+
+fn grace<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
+    parse_field("grace", humantime::parse_duration, d).map(Some)
 }
 
 /// Parses a value. The error names its key, which the YAML deserializer omits.
--- a/crates/node/tests/drain.rs
+++ b/crates/node/tests/drain.rs
@@ -1,4 +1,4 @@
-//! Draining a node: it finishes running requests and refuses new ones.
+//! Stopping a node: it serves for a while, refuses new requests and finishes the others.
 
 use std::fs;
 use std::io::BufRead;
@@ -114,10 +114,34 @@
     drained.join().unwrap();
 }
 
+/// Guards against refusals while callers don't know yet that the node stops.
 #[test]
-fn request_after_drain() {
+fn request_while_stopping() {
     let vm = vm_with_slow_target();
     let node = support::start(&support::settings(vm, vm, ""));
+    let mut kept = Caller::connect(vm.callers());
+    kept.send("GET /none HTTP/1.1\r\nhost: a\r\n\r\n");
+    assert_eq!(kept.receive().unwrap().status(), 404);
+    let drained = support::drain(node);
+    thread::sleep(RESPONSE_TIME / 3);
+    let mut new = Caller::connect(vm.callers());
+    for caller in [&mut kept, &mut new] {
+        caller.send(GET);
+    }
+    for caller in [&mut kept, &mut new] {
+        let response = caller.receive().expect("a response");
+        assert_eq!(response.body, "whole");
+        assert_eq!(response.header("connection"), Some("close"));
+    }
+    drained.join().unwrap();
+}
+
+/// Guards against work that starts when the time for serving is over.
+#[test]
+fn request_after_drain() {
+    let vm = vm_with_slow_target();
+    let limits = "limits:\n  leaving: 50ms\n";
+    let node = support::start(&support::settings(vm, vm, limits));
     let mut busy = Caller::connect(vm.callers());
     let mut idle = Caller::connect(vm.callers());
     idle.send("GET /none HTTP/1.1\r\nhost: a\r\n\r\n");
--- a/crates/trials/src/scenario/execute.rs
+++ b/crates/trials/src/scenario/execute.rs
@@ -156,6 +156,7 @@
             | RequestAction::SendQuota { .. }
             | RequestAction::ReportQuota(_)
             | RequestAction::ReportTarget(_)
+            | RequestAction::ReportStop(_)
             | RequestAction::Summarize(_)
             | RequestAction::Drained => {}
             RequestAction::WakeAt(at) => {
