Start further calls of a run before first calls of others

Cause: a target whose runs make several calls lost runs at a later call, after the called target had worked on the earlier ones.

Change: a node counts the answered calls of each run of its target by the identifiers of the requests, and states the number with the next call. Further calls go first at the called target and wait up to their deadline.

--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -148,6 +148,9 @@
     /// Priority of the run that made the call. Absent if no run made it, or if the
     /// forwarding node doesn't know.
     pub caller_priority: Option<Priority>,
+    /// Number of calls of the same run that were answered before this one; zero if the
+    /// forwarding node doesn't know.
+    pub earlier_calls: u32,
     /// The caller's HTTP request.
     pub request: HttpRequest,
 }
--- a/crates/kernel/src/requests/admission/admit.rs
+++ b/crates/kernel/src/requests/admission/admit.rs
@@ -45,6 +45,7 @@
             rank,
             priority: own_rank.priority(),
             target_latency: kind.and_then(|kind| kind.target_latency),
+            is_further_call: arrival.handover.earlier_calls > 0,
         };
         let decision = match self.link_refusal(cx, &arrival) {
             Some(refusal) => Decision::Refuse(refusal),
--- a/crates/kernel/src/requests/admission/crash.rs
+++ b/crates/kernel/src/requests/admission/crash.rs
@@ -104,6 +104,7 @@
             statement: None,
             workspace_priority: None,
             caller_priority: None,
+            earlier_calls: 0,
             request: HttpRequest::default(),
         };
         cx.send(&upstream, Box::new(announcement).into(), deadline);
--- a/crates/kernel/src/requests/admission/decision.rs
+++ b/crates/kernel/src/requests/admission/decision.rs
@@ -51,4 +51,6 @@
     pub(super) priority: Priority,
     /// Response time that the kind aims for.
     pub(super) target_latency: Option<Duration>,
+    /// Whether it is a further call of a run that has had answers to others.
+    pub(super) is_further_call: bool,
 }
--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -87,6 +87,8 @@
 use crate::Phase;
 use crate::Reply;
 use crate::ReplyOutcome;
+use crate::requests::Answer;
+use crate::requests::CallId;
 use crate::requests::ExchangeId;
 use crate::requests::Journal;
 use crate::requests::JournalConfig;
@@ -281,6 +283,30 @@
         parent.is_some_and(|id| self.runs.find(&id).is_some())
     }
 
+    /// Records a request that may be a call of a run at the local target. Returns the number
+    /// of the run's calls that were answered before, or `None` if it is no such call.
+    pub(super) fn start_call(
+        &mut self,
+        dialect: &Dialect,
+        call: CallId,
+        request: &HttpRequest,
+    ) -> Option<u32> {
+        let parent = headers::parent_id(dialect, request)?;
+        self.runs.start_call(&parent, call)
+    }
+
+    /// Records the end of a call of a run at the local target. Other calls are ignored.
+    pub(super) fn end_call(&mut self, call: CallId, answer: &Answer) {
+        let is_success =
+            matches!(answer, Answer::Response(response) if !headers::is_failure(response));
+        self.runs.end_call(call, is_success);
+    }
+
+    /// Forgets a call whose caller left.
+    pub(super) fn cancel_call(&mut self, call: CallId) {
+        self.runs.end_call(call, false);
+    }
+
     const fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
--- a/crates/kernel/src/requests/admission/rank.rs
+++ b/crates/kernel/src/requests/admission/rank.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     workspace: Priority,
+    /// Further calls of a run that has had answers to others go first.
+    is_further_call: Reverse<bool>,
     priority: Priority,
     /// Time left until the caller's deadline when the forwarding node got the request,
     /// in whole target latencies.
@@ -42,6 +44,7 @@
         let most_urgent = cx.view.workspaces().most_urgent();
         Self {
             workspace: handover.workspace_priority.unwrap_or(most_urgent),
+            is_further_call: Reverse(handover.earlier_calls > 0),
             priority: kind.map(|kind| kind.priority).unwrap_or_default(),
             time_left: Reverse(units),
         }
--- a/crates/kernel/src/requests/admission/scheduler/decide.rs
+++ b/crates/kernel/src/requests/admission/scheduler/decide.rs
@@ -68,6 +68,7 @@
         let is_wait_accepted = max_wait.is_none_or(|max| wait <= max);
         let accepted_sibling = sibling.and_then(|sibling| sibling.work);
         let (is_wait_accepted, max_wait) = match (sibling, accepted_sibling) {
+            _ if request.is_further_call => (true, None),
             (_, Some(_)) => (true, request.max_wait),
             (Some(_), None) => (false, max_wait),
             (None, None) => (is_wait_accepted, max_wait),
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -38,12 +38,15 @@
             RequestEvent::Arrived { call, request } => {
                 let dialect = &cx.view.cfg().terms.dialect;
                 let source = RequestSource {
-                    is_call: self.admission.is_call(dialect, &request),
+                    earlier_calls: self.admission.start_call(dialect, call, &request),
                     run_priority: self.admission.run_priority(),
                 };
                 self.forwarder.handle_request(cx, call, request, source);
             }
-            RequestEvent::Cancelled { call } => self.forwarder.handle_cancellation(cx, call),
+            RequestEvent::Cancelled { call } => {
+                self.admission.cancel_call(call);
+                self.forwarder.handle_cancellation(cx, call);
+            }
             RequestEvent::Received { inbound, request } => {
                 self.receive(cx, inbound.into(), request);
             }
--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -75,6 +75,8 @@
     pub(super) target_latency: Option<Duration>,
     /// Priority of the run that made it, if a run did and the node ranks calls by it.
     pub(super) caller_priority: Option<Priority>,
+    /// Number of calls of the same run that were answered before.
+    pub(super) earlier_calls: u32,
     /// Whether its response is usually large.
     pub(super) is_large: bool,
     /// Limit on the requests to upstreams that may reach a target.
@@ -154,6 +156,7 @@
             depth,
             crashed_vms: Vec::new(),
             caller_priority: None,
+            earlier_calls: 0,
             refusals: 0,
             attempts: 0,
             tried: Vec::new(),
@@ -303,6 +306,7 @@
             statement,
             workspace_priority: self.workspace_priority,
             caller_priority: self.caller_priority,
+            earlier_calls: self.earlier_calls,
             request: self.request.clone(),
         }
     }
--- a/crates/kernel/src/requests/forwarding/checks.rs
+++ b/crates/kernel/src/requests/forwarding/checks.rs
@@ -22,7 +22,7 @@
     source: RequestSource,
     random: u64,
 ) -> Result<Destination> {
-    if cx.view.is_forwarding_stopped() && !source.is_call {
+    if cx.view.is_forwarding_stopped() && source.earlier_calls.is_none() {
         return Err(NotRun::Leaving);
     }
     if cx.view.snapshot().is_none() {
--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -78,8 +78,9 @@
 /// Where a request comes from: a caller, or a run of the local target.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RequestSource {
-    /// Whether it is known to be a call of such a run.
-    pub(super) is_call: bool,
+    /// Number of calls of the same run that were answered before; absent if the request
+    /// isn't known to be a call of such a run.
+    pub(super) earlier_calls: Option<u32>,
     /// Priority of the most urgent run of the local target.
     pub(super) run_priority: Option<Priority>,
 }
@@ -164,6 +165,7 @@
         match destination.and_then(|to| self.new_call(cx.read(), request, to)) {
             Ok(mut call) => {
                 let is_ranked = cx.view.cfg().terms.urgent_slots && call.depth.get() > 0;
+                call.earlier_calls = source.earlier_calls.unwrap_or_default();
                 call.caller_priority = source.run_priority.filter(|_| is_ranked);
                 self.start_within_quota(cx, id, call);
             }
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -255,6 +255,11 @@
         }
         self.dispatch(now, event, actions);
         self.counters.count(&actions[earlier..], was_leaving);
+        for action in &actions[earlier..] {
+            if let RequestAction::Answer { call, answer } = action {
+                self.dispatcher.admission.end_call(*call, answer);
+            }
+        }
         self.finish_event(actions);
     }
 
--- a/crates/kernel/tests/stated_limits.rs
+++ b/crates/kernel/tests/stated_limits.rs
@@ -498,6 +498,7 @@
             }),
             workspace_priority: None,
             caller_priority: None,
+            earlier_calls: 0,
             request: order(),
         };
         let request = Box::new(handover).into();
--- a/crates/kernel/tests/workspaces.rs
+++ b/crates/kernel/tests/workspaces.rs
@@ -304,6 +304,7 @@
         statement: None,
         workspace_priority: None,
         caller_priority: None,
+        earlier_calls: 0,
         request: with(keyed_stock("hops"), WORKSPACE, "forged"),
     };
     let request = Box::new(handover).into();
--- a/crates/node/tests/drain.rs
+++ b/crates/node/tests/drain.rs
@@ -202,6 +202,7 @@
         statement: None,
         workspace_priority: None,
         caller_priority: None,
+        earlier_calls: 0,
         request: HttpRequest {
             method: "GET".into(),
             host: "a".into(),
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -114,6 +114,7 @@
             statement: handover.statement.map(Into::into),
             workspace_priority: handover.workspace_priority.map(Priority::get),
             caller_priority: handover.caller_priority.map(Priority::get),
+            earlier_calls: handover.earlier_calls,
         }
     }
 }
@@ -138,6 +139,7 @@
             statement: raw.statement.map(Into::into),
             workspace_priority: raw.workspace_priority.map(Priority::new),
             caller_priority: raw.caller_priority.map(Priority::new),
+            earlier_calls: raw.earlier_calls,
             request: required(raw.request, "request")?.into(),
         })
     }
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -72,6 +72,7 @@
         statement: Some(statement()),
         workspace_priority: Some(Priority::new(2)),
         caller_priority: Some(Priority::new(2)),
+        earlier_calls: 3,
         request: HttpRequest {
             method: Bytes::from_static(b"POST"),
             host: Bytes::from_static(b"orders.example"),
