--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -22,6 +22,7 @@
 mod admit;
 mod arrival;
 mod caller_rank;
+mod calls;
 mod check;
 mod crash;
 mod decision;
@@ -60,8 +61,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celeryshore_model::Dialect;
-use celeryshore_model::HttpRequest;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
 use celeryshore_model::VmName;
@@ -87,8 +86,6 @@
 use crate::Phase;
 use crate::Reply;
 use crate::ReplyOutcome;
-use crate::requests::Answer;
-use crate::requests::CallId;
 use crate::requests::ExchangeId;
 use crate::requests::Journal;
 use crate::requests::JournalConfig;
@@ -97,7 +94,6 @@
 use crate::requests::WorkId;
 use crate::requests::context::Context;
 use crate::requests::context::Origin;
-use crate::requests::headers;
 use crate::requests::sizes::body_size;
 use crate::requests::timers::Timers;
 
@@ -277,36 +273,6 @@
         self.start_queued(cx);
     }
 
-    /// Returns `true` if a request is a call of a run at the local target, by its identifier.
-    pub(super) fn is_call(&self, dialect: &Dialect, request: &HttpRequest) -> bool {
-        let parent = headers::parent_id(dialect, request);
-        parent.is_some_and(|id| self.runs.find(&id).is_some())
-    }
-
-    /// Records a request that may be a call of a run at the local target. Returns the number
-    /// of the run's calls that were answered before, or `None` if it is no such call.
-    pub(super) fn start_call(
-        &mut self,
-        dialect: &Dialect,
-        call: CallId,
-        request: &HttpRequest,
-    ) -> Option<u32> {
-        let parent = headers::parent_id(dialect, request)?;
-        self.runs.start_call(&parent, call)
-    }
-
-    /// Records the end of a call of a run at the local target. Other calls are ignored.
-    pub(super) fn end_call(&mut self, call: CallId, answer: &Answer) {
-        let is_success =
-            matches!(answer, Answer::Response(response) if !headers::is_failure(response));
-        self.runs.end_call(call, is_success);
-    }
-
-    /// Forgets a call whose caller left.
-    pub(super) fn cancel_call(&mut self, call: CallId) {
-        self.runs.end_call(call, false);
-    }
-
     const fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
--- a/crates/kernel/src/requests/admission/runs.rs
+++ b/crates/kernel/src/requests/admission/runs.rs
@@ -20,7 +20,7 @@
 /// Index of the runs whose requests have an identifier, and their open calls.
 #[derive(Debug, Default)]
 pub(super) struct Runs {
-    runs: BTreeMap<WorkId, Run>,
+    by_work: BTreeMap<WorkId, Run>,
     by_request: BTreeMap<Bytes, WorkId>,
     calls: BTreeMap<CallId, WorkId>,
 }
@@ -34,13 +34,13 @@
                 request: request.clone(),
                 answered_calls: 0,
             };
-            self.runs.insert(work, run);
+            self.by_work.insert(work, run);
         }
     }
 
     /// Removes a run that has ended.
     pub(super) fn remove(&mut self, work: WorkId) {
-        let run = self.runs.remove(&work);
+        let run = self.by_work.remove(&work);
         if let Some(run) = run
             && self.by_request.get(&run.request) == Some(&work)
         {
@@ -57,7 +57,7 @@
     /// were answered before, or `None` if there is no such run.
     pub(super) fn start_call(&mut self, request: &Bytes, call: CallId) -> Option<u32> {
         let work = self.find(request)?;
-        let run = self.runs.get(&work)?;
+        let run = self.by_work.get(&work)?;
         self.calls.insert(call, work);
         Some(run.answered_calls)
     }
@@ -65,7 +65,7 @@
     /// Records the end of a call.
     pub(super) fn end_call(&mut self, call: CallId, is_success: bool) {
         let work = self.calls.remove(&call);
-        if let Some(run) = work.and_then(|work| self.runs.get_mut(&work)) {
+        if let Some(run) = work.and_then(|work| self.by_work.get_mut(&work)) {
             run.answered_calls += u32::from(is_success);
         }
     }
--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -1,13 +1,13 @@
 //! Forwards callers' requests to upstreams and retries them.
 //!
 //! [`Forwarder`] keeps one [`Call`] for each caller request that has no final
-//! response yet. It routes the request and checks its key (`checks`), asks the `balancer` for an upstream, sends
-//! the request to that upstream's node and handles the reply. The balancer chooses by
-//! distance and by the loads in `upstream_load`. `retry` decides whether a request
-//! that was refused or lost goes to another upstream, and `retry_budget` limits how
-//! often. `stall` sends a second request when the first takes much longer than the
-//! usual time in `response_times`. `poison` counts the VMs that crash while they run
-//! the same request.
+//! response yet. It routes the request and checks its key (`checks`), asks the `balancer`
+//! for an upstream, sends the request to that upstream's node and handles the reply. The
+//! balancer chooses by distance and by the loads in `upstream_load`. `retry` decides
+//! whether a request that was refused or lost goes to another upstream, and
+//! `retry_budget` limits how often. `exchanges` ends the requests to upstreams. `stall`
+//! sends a second request when the first takes much longer than the usual time in
+//! `response_times`. `poison` counts the VMs that crash while they run the same request.
 
 mod balancer;
 mod call;
@@ -15,6 +15,7 @@
 mod choice;
 mod estimate;
 mod even;
+mod exchanges;
 mod explain;
 mod load_counters;
 mod own_sends;
@@ -339,53 +340,6 @@
         budget
     }
 
-    /// Counts a missed deadline as a failure of the upstream, unless this process was
-    /// frozen in the meantime and may have caused the delay itself.
-    fn record_timeout(&mut self, cx: &Context<'_>, req: &UpstreamRequest) {
-        if cx.lost_time.is_zero() {
-            self.balancer.record_failure(cx.now.mono, req);
-        } else {
-            self.balancer.record_abandoned(req);
-        }
-    }
-
-    /// Removes and returns the call of an exchange that ended, with its request.
-    fn take_call(&mut self, exchange: ExchangeId) -> Option<(CallId, Call, UpstreamRequest)> {
-        let id = self.exchanges.remove(&exchange)?;
-        self.stalls.cancel(id);
-        let mut call = self.calls.remove(&id)?;
-        let is_ended = |req: &mut UpstreamRequest| req.exchange == exchange;
-        if let Some(req) = call.stalled.take_if(is_ended) {
-            call.stalled = call.current.take();
-            return Some((id, call, req));
-        }
-        let req = call.current.take()?;
-        Some((id, call, req))
-    }
-
-    /// Removes a call and abandons its open exchanges. Returns their requests.
-    fn end_call(&mut self, cx: &mut Context<'_>, id: CallId) -> Vec<UpstreamRequest> {
-        self.deadlines.cancel(id);
-        self.stalls.cancel(id);
-        let call = self.calls.remove(&id);
-        let pending = call.map(|call| [call.current, call.stalled]);
-        let pending: Vec<_> = pending.into_iter().flatten().flatten().collect();
-        for req in &pending {
-            self.exchanges.remove(&req.exchange);
-            cx.abandon(req.exchange, req.is_local);
-        }
-        pending
-    }
-
-    /// Abandons the stalled request of a call that another upstream has answered.
-    fn abandon_stalled(&mut self, cx: &mut Context<'_>, call: &mut Call) {
-        if let Some(req) = call.stalled.take() {
-            self.exchanges.remove(&req.exchange);
-            cx.abandon(req.exchange, req.is_local);
-            self.balancer.record_failure(cx.now.mono, &req);
-        }
-    }
-
     /// Randomizes the retry time of a refusal, so that refused callers don't all
     /// return at once.
     pub(super) fn jitter_retry_after(&mut self, answer: Answer) -> Answer {
--- a/crates/kernel/src/requests/terms.rs
+++ b/crates/kernel/src/requests/terms.rs
@@ -8,6 +8,8 @@
 use celeryshore_model::ServiceName;
 use celeryshore_model::Share;
 
+/// Longest time for which a stopping node serves, if the settings name none.
+const LONGEST_STOP: Duration = Duration::from_secs(4);
 const FULL_RATE: Share = Share::from_per_mille(1_000);
 /// Part of the slack that stays unused, in requests per second, because a request may
 /// arrive in a later second than it was sent in.
@@ -98,7 +100,7 @@
 impl Default for StopTerms {
     fn default() -> Self {
         Self {
-            longest: Duration::from_secs(4),
+            longest: LONGEST_STOP,
         }
     }
 }
