Identify the kind of a rule by its host and prefix

Callers saw orders of an `unsafe` rule run twice after a lost answer, where a rule of another host (or prefix) had the same name and was `safe`.

The adapter stored the kind of a rule in its service under the rule's name, so the rule that was read last replaced the others: semantics, deadline, attempts, priority and target latency, and all that is counted by kind. Forwarding and admitting node then agreed that the order may be repeated.

A kind of a rule is now identified by the place of its route, a digest of host and prefix. Nodes send the place beside the label, which nodes of the former release know; for requests of such nodes the admitting node finds the kind by the label, and by the request's route where several kinds share it.

--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -228,8 +228,12 @@
     }
 
     /// Accepts a request that was routed under a version that is known here.
-    fn accept(&mut self, cx: &mut Context<'_>, arrival: Arrival) {
+    fn accept(&mut self, cx: &mut Context<'_>, mut arrival: Arrival) {
         let origin = arrival.origin;
+        let named = &arrival.handover.kind;
+        if let Some(kind) = cx.view.resolve_kind(named, &arrival.handover.request) {
+            arrival.handover.kind = kind;
+        }
         if let Some(copy) = arrival::keyed_copy(cx, &arrival.handover) {
             self.handle_keyed_copy(cx, arrival, &copy);
             return;
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -7,6 +7,7 @@
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Kind;
 use celeryshore_model::KindId;
+use celeryshore_model::KindName;
 use celeryshore_model::Limits;
 use celeryshore_model::Now;
 use celeryshore_model::Priority;
@@ -284,6 +285,29 @@
         self.snapshot()?.kind(id)
     }
 
+    /// Returns the kind of a request that another node names. Nodes of the former release
+    /// name a kind by its label only; where several kinds share the label, the route of
+    /// the request decides. `None` if no kind of the service fits.
+    pub(super) fn resolve_kind(&self, named: &KindId, request: &HttpRequest) -> Option<KindId> {
+        if named.kind.place().is_some() || self.kind(named).is_some() {
+            return Some(named.clone());
+        }
+        let kinds = &self.service(&named.service)?.kinds;
+        let is_namesake = |kind: &&KindName| kind.label() == named.kind.label();
+        let mut namesakes = kinds.keys().filter(is_namesake);
+        let first = namesakes.next()?;
+        let kind = if namesakes.next().is_none() {
+            first
+        } else {
+            let route = self.router.as_ref()?.find(request)?;
+            Some(&route.kind).filter(is_namesake)?
+        };
+        Some(KindId {
+            service: named.service.clone(),
+            kind: kind.clone(),
+        })
+    }
+
     /// Returns the workspaces of the configuration in effect.
     pub(super) const fn workspaces(&self) -> &Workspaces {
         &self.workspaces
--- a/crates/kernel/tests/call_chains.rs
+++ b/crates/kernel/tests/call_chains.rs
@@ -60,7 +60,7 @@
         upstream.service = calling.name.clone();
     }
     for route in &mut snapshot.routes {
-        if route.kind.as_str() == "order" {
+        if route.kind.label() == "order" {
             route.service = calling.name.clone();
         }
     }
@@ -250,7 +250,7 @@
         .services
         .get_mut(&"ordering".parse::<ServiceName>().expect("valid name"));
     let called = called.expect("the called service");
-    let calls = called.kinds.values().find(|k| k.name.as_str() == "stock");
+    let calls = called.kinds.values().find(|k| k.name.label() == "stock");
     let mut review = calls.expect("the kind of calls").clone();
     review.name = "review".parse().expect("valid kind");
     review.priority = Priority::new(2);
@@ -258,7 +258,7 @@
     let routes = snapshot.routes.iter();
     let mut route = routes
         .clone()
-        .find(|r| r.kind.as_str() == "stock")
+        .find(|r| r.kind.label() == "stock")
         .expect("a route")
         .clone();
     route.name = "review".parse().expect("valid route");
--- a/crates/kernel/tests/paced.rs
+++ b/crates/kernel/tests/paced.rs
@@ -161,7 +161,7 @@
     let mut snapshot = snapshot(1);
     tune(&mut snapshot, |s| {
         for kind in s.kinds.values_mut() {
-            let is_order = kind.name.as_str() == "order";
+            let is_order = kind.name.label() == "order";
             kind.priority = Priority::new(if is_order { 0 } else { 2 });
         }
     });
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -1,5 +1,4 @@
-//! Names of services, upstreams, VMs, availability zones, routes, request kinds and
-//! workspaces.
+//! Names of services, upstreams, VMs, availability zones, routes and workspaces.
 
 use std::fmt;
 use std::str::FromStr;
@@ -102,10 +101,6 @@
     /// Name of a route.
     RouteName
 }
-name! {
-    /// Name of a request kind, unique within its service.
-    KindName
-}
 name! {
     /// Name of a workspace.
     WorkspaceName
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -13,7 +13,9 @@
 use celeryshore_model::Incarnation;
 use celeryshore_model::Index;
 use celeryshore_model::KindId;
+use celeryshore_model::KindName;
 use celeryshore_model::Rate;
+use celeryshore_model::RoutePlace;
 use celeryshore_model::Version;
 
 use crate::Error;
@@ -91,7 +93,8 @@
     fn from(id: KindId) -> Self {
         Self {
             service: id.service.to_string(),
-            kind: id.kind.to_string(),
+            kind: id.kind.label().to_owned(),
+            place: id.kind.place().map(|place| place.0),
         }
     }
 }
@@ -100,7 +103,7 @@
     let raw = required(raw, "kind")?;
     Ok(KindId {
         service: parse(&raw.service)?,
-        kind: parse(&raw.kind)?,
+        kind: parse::<KindName>(&raw.kind)?.with_place(raw.place.map(RoutePlace)),
     })
 }
 
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -32,8 +32,10 @@
 use celeryshore_model::Incarnation;
 use celeryshore_model::Index;
 use celeryshore_model::KindId;
+use celeryshore_model::KindName;
 use celeryshore_model::Priority;
 use celeryshore_model::Rate;
+use celeryshore_model::RoutePlace;
 use celeryshore_model::Version;
 use celeryshore_wire::Category;
 use celeryshore_wire::FrameLimit;
@@ -92,6 +94,25 @@
     }
 }
 
+/// Guards against a kind that loses the place of its route, or the label by which nodes
+/// of the former release know it.
+#[test]
+fn kind_of_route() {
+    let label = "main".parse().unwrap();
+    let place = RoutePlace::of("orders.example", "/");
+    let mut sent = handover(Delivery::Once);
+    sent.kind.kind = KindName::of_route(&label, place);
+    let frame = RequestFrame::Request(Box::new(PeerRequest::from(Box::new(sent))));
+    let RequestFrame::Request(request) = RequestFrame::decode(frame.encode()).unwrap() else {
+        panic!("expected a request");
+    };
+    let PeerRequest::Handover(received) = *request else {
+        panic!("expected a handover");
+    };
+    assert_eq!(received.kind.kind.place(), Some(place));
+    assert_eq!(received.kind.kind.label(), "main");
+}
+
 fn response() -> HttpResponse {
     HttpResponse {
         status: 201,
