Check a repeat against the configuration in effect

A request that was routed as repeatable was sent again after a lost answer although a newer version in effect at its node lets it run at most once.

The delivery was fixed when the request arrived. A repeat, a second send and a reroute now also ask the configuration in effect; an order stays an order under a version that allows repeats.

kinds::stricter_configuration failed before.

--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -179,9 +179,10 @@
         matches!(&self.delivery, Delivery::Keyed { attempt, .. } if *attempt == Some(FIRST_ATTEMPT))
     }
 
-    /// Returns `true` if the call may safely run more than once.
-    pub(super) const fn is_idempotent(&self) -> bool {
-        matches!(self.delivery, Delivery::Repeatable)
+    /// Returns `true` if the call may safely run more than once: by the configuration that
+    /// it was routed under and by the one in effect, which may have changed its semantics.
+    pub(super) fn is_idempotent(&self, cx: ReadContext<'_>) -> bool {
+        matches!(self.delivery, Delivery::Repeatable) && !cx.view.is_at_most_once(&self.request)
     }
 
     /// Writes a log entry about a step of the call.
--- a/crates/kernel/src/requests/forwarding/retry.rs
+++ b/crates/kernel/src/requests/forwarding/retry.rs
@@ -112,7 +112,7 @@
         }
         let answer = unknown_answer(reason);
         let is_repeatable =
-            call.is_idempotent() && reason != Unknown::Deadline && !poison::is_poison(&call);
+            call.is_idempotent(cx.read()) && reason != Unknown::Deadline && !poison::is_poison(&call);
         if is_repeatable && self.may_retry(cx, &call) {
             self.forward(cx, id, call, answer);
         } else {
--- a/crates/kernel/src/requests/forwarding/stall.rs
+++ b/crates/kernel/src/requests/forwarding/stall.rs
@@ -8,6 +8,7 @@
 use super::Forwarder;
 use super::call::Call;
 use super::retry;
+use crate::Delivery;
 use crate::MemberState;
 use crate::Unknown;
 use crate::requests::CallId;
@@ -58,7 +59,7 @@
     pub(super) fn first_stall_timeout(&self, cx: &Context<'_>, call: &Call) -> Duration {
         let remaining = call.deadline - cx.now.mono;
         let stall_timeout = self.response_times.stall_timeout(&call.kind, remaining);
-        let may_send_second = cx.view.cfg().terms.even_load && call.is_idempotent();
+        let may_send_second = cx.view.cfg().terms.even_load && call.delivery == Delivery::Repeatable;
         let latency = call.target_latency.filter(|_| may_send_second);
         let second = latency
             .and_then(|latency| self.response_times.second_send_timeout(&call.kind, latency));
@@ -89,7 +90,7 @@
             .has_candidate(cx, call, |c| !c.is_unhealthy && c.has_room);
         let service = call.kind.service.clone();
         let is_allowed = call.stalled.is_none()
-            && call.is_idempotent()
+            && call.is_idempotent(cx.read())
             && call.depth.get() == 0
             && call.attempts < call.max_attempts
             && has_free
@@ -111,7 +112,7 @@
         };
         let has_other = self.balancer.has_healthy(cx, call);
         let is_keyed = call.key().is_some();
-        let is_safe = is_keyed || call.is_idempotent();
+        let is_safe = is_keyed || call.is_idempotent(cx.read());
         if call.stalled.is_some() || !has_other || !is_safe || !self.may_reroute(cx, id) {
             return;
         }
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -308,6 +308,13 @@
         })
     }
 
+    /// Returns `true` if the configuration in effect lets a request run at most once.
+    pub(super) fn is_at_most_once(&self, request: &HttpRequest) -> bool {
+        let route = self.router.as_ref().and_then(|router| router.find(request));
+        let kind = route.and_then(|route| self.service(&route.service)?.kinds.get(&route.kind));
+        kind.is_some_and(|kind| !kind.semantics.is_repeatable())
+    }
+
     /// Returns the workspaces of the configuration in effect.
     pub(super) const fn workspaces(&self) -> &Workspaces {
         &self.workspaces
--- a/crates/kernel/tests/kinds.rs
+++ b/crates/kernel/tests/kinds.rs
@@ -4,9 +4,11 @@
 
 use std::sync::Arc;
 
+use celeryshore_kernel::Answer;
 use celeryshore_kernel::Delivery;
 use celeryshore_kernel::Handover;
 use celeryshore_kernel::InboundId;
+use celeryshore_kernel::Outcome;
 use celeryshore_kernel::RequestEvent;
 use celeryshore_model::Depth;
 use celeryshore_model::Digest;
@@ -15,12 +17,14 @@
 use celeryshore_model::KindName;
 use celeryshore_model::RouteName;
 use celeryshore_model::RoutePlace;
+use celeryshore_model::Semantics;
 use celeryshore_model::Snapshot;
 
 use crate::common::Mesh;
 use crate::common::deployment::order;
 use crate::common::deployment::ordering;
 use crate::common::deployment::stock;
+use crate::common::deployment::tune;
 use crate::common::name;
 
 /// Returns a configuration whose two kinds share a label.
@@ -41,6 +45,18 @@
     snapshot
 }
 
+/// Returns the next version, in which the semantics of a kind are others.
+fn with_semantics(snapshot: &Snapshot, kind: &str, semantics: Semantics) -> Arc<Snapshot> {
+    let mut next = snapshot.clone();
+    next.version.index.0 += 1;
+    let kind: KindName = kind.parse().expect("valid kind");
+    tune(&mut next, |service| {
+        let kind = service.kinds.get_mut(&kind).expect("a kind");
+        kind.semantics = semantics;
+    });
+    Arc::new(next)
+}
+
 /// Passes a request to `vm-1` as a node of the former release does, which names kinds by
 /// their labels only. Returns `true` if it runs.
 fn is_admitted(mesh: &mut Mesh, request: HttpRequest, delivery: Delivery) -> bool {
@@ -100,3 +116,31 @@
     assert_eq!(asked.iter().sum::<u64>(), 3);
     assert_eq!(asked.len(), 2, "{kinds:?}");
 }
+
+/// Guards against a second run of a request that a new configuration forbids to repeat.
+#[test]
+fn stricter_configuration() {
+    let first = ordering(&["glasgow", "perth", "stirling"]);
+    let mut mesh = Mesh::new(&Arc::new(first.clone()));
+    let call = mesh.call("vm-1", stock());
+    let next = with_semantics(&first, "stock", Semantics::AtMostOnce);
+    mesh.send("vm-1", RequestEvent::Configured(next));
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Broken);
+    assert!(matches!(mesh.answers[&call], Answer::Unknown { .. }));
+    assert_eq!(mesh.history.len(), 1);
+}
+
+/// Guards against a second run of an order after a configuration that allows repeats.
+#[test]
+fn looser_configuration() {
+    let first = ordering(&["glasgow", "perth", "stirling"]);
+    let mut mesh = Mesh::new(&Arc::new(first.clone()));
+    let call = mesh.call("vm-1", order());
+    let next = with_semantics(&first, "order", Semantics::Idempotent);
+    mesh.send_all(&RequestEvent::Configured(next));
+    let run = mesh.runs[0].clone();
+    mesh.finish(&run, Outcome::Broken);
+    assert!(matches!(mesh.answers[&call], Answer::Unknown { .. }));
+    assert_eq!(mesh.history.len(), 1);
+}
