Refuse what can't be answered before a stopped process is killed

Callers whose requests a stopped node took late in its grace period met a connection that ended at SIGKILL without an answer, orders among them, while short requests were refused nearly two seconds before the end.

The kernel knew only for how long to go on serving. It now knows the grace period, and compares each request with what is left of it: at the node that takes it, again at each repeat and second send, for calls of runs, and at the node beside the target on arrival, in the queue and at the start. Expected is the longest time of the kind that was seen lately, with a reserve, at most the time until the deadline. The rest is refused as not run; Retry-After says when the next process serves if the callers have no other node. What is open shortly before the end is answered as unknown.

The doc test of SettingsLimits::leaving expects 5.7 s of a grace period of 6 s in place of 4 s, since the time for serving is no longer a fixed share.

--- a/crates/kernel/src/requests/admission/admit.rs
+++ b/crates/kernel/src/requests/admission/admit.rs
@@ -52,7 +52,8 @@
             ),
             is_further_call: arrival.handover.earlier_calls > 0,
         };
-        let decision = match self.link_refusal(cx, &arrival) {
+        let refusal = self.stop_refusal(cx, &arrival);
+        let decision = match refusal.or_else(|| self.link_refusal(cx, &arrival)) {
             Some(refusal) => Decision::Refuse(refusal),
             None => self.scheduler.decide(cx.now.mono, request),
         };
--- a/crates/kernel/src/requests/admission/expiry.rs
+++ b/crates/kernel/src/requests/admission/expiry.rs
@@ -159,6 +159,8 @@
             && let WorkState::Running { since } = work.state
         {
             let now = cx.now.mono;
+            self.longest_runs
+                .record(now, &work.handover.kind, now - since);
             self.kind_stats
                 .record_end(&work.handover.kind, RunEnd::Aborted, now - since);
             self.scheduler.abandon(now, since, &work.handover.kind);
--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -17,7 +17,8 @@
 //! that the target states with the `queue`, whose order follows from `rank`, `shares` and
 //! `lateness`.
 //! `statement` reads what the target states in its responses. `local_target` detects
-//! restarts of the target, and `crash` detects requests that crash it.
+//! restarts of the target, and `crash` detects requests that crash it. `stopping` refuses
+//! what can't end before this process is killed.
 
 mod adaptive_limit;
 mod admit;
@@ -54,6 +55,7 @@
 mod start_rate;
 mod statement;
 mod status;
+mod stopping;
 mod task;
 mod unlisted_inquirers;
 mod urgent_slots;
@@ -96,6 +98,7 @@
 use crate::requests::WorkId;
 use crate::requests::context::Context;
 use crate::requests::context::Origin;
+use crate::requests::longest_times::LongestTimes;
 use crate::requests::sizes::body_size;
 use crate::requests::timers::Timers;
 
@@ -127,6 +130,8 @@
     unlisted_inquirers: UnlistedInquirers,
     lost_responses: LostResponses,
     kind_stats: KindStats,
+    /// Longest run times of the local target.
+    longest_runs: LongestTimes,
     /// Time of the latest response of the local target, or of the one that another node
     /// told this one of.
     heard_at: Option<Time>,
@@ -161,6 +166,7 @@
             unlisted_inquirers: UnlistedInquirers::default(),
             lost_responses: LostResponses::default(),
             kind_stats: KindStats::new(now.mono),
+            longest_runs: LongestTimes::default(),
             heard_at: None,
             has_response: false,
             is_target_leaving: false,
@@ -303,6 +309,12 @@
         }
         check::check_serving(own)?;
         self.check_staying()?;
+        if self
+            .shortfall(cx, &work.handover.kind, work.deadline)
+            .is_some()
+        {
+            return Err(NotRun::Leaving);
+        }
         if !self
             .scheduler
             .can_finish(cx.now.mono, work.deadline - cx.now.mono)
--- a/crates/kernel/src/requests/admission/observe.rs
+++ b/crates/kernel/src/requests/admission/observe.rs
@@ -19,6 +19,10 @@
             return;
         };
         let now = cx.now.mono;
+        if !matches!(outcome, Outcome::NeverSent) {
+            self.longest_runs
+                .record(now, &work.handover.kind, now - since);
+        }
         if let Outcome::Answered(response) = outcome {
             self.observe_response(cx, &work.handover.upstream, response);
             if !headers::is_failure(response) {
--- a/crates/kernel/src/requests/dispatch.rs
+++ b/crates/kernel/src/requests/dispatch.rs
@@ -24,9 +24,24 @@
     pub(super) fn handle(&mut self, cx: &mut Context<'_>, event: RequestEvent) {
         self.dispatch(cx, event);
         self.deliver_all(cx);
+        self.end_stopped(cx);
         self.admission.summarize(cx);
     }
 
+    /// Ends what can't end before a stop: queued requests that would run for too long, and
+    /// at last the open calls.
+    fn end_stopped(&mut self, cx: &mut Context<'_>) {
+        let Some(stop_time) = cx.view.stop_time() else {
+            return;
+        };
+        self.admission.refuse_unfinishable(cx);
+        self.deliver_all(cx);
+        if cx.now.mono >= stop_time.answers_at() {
+            self.forwarder.end_stopped(cx);
+            self.deliver_all(cx);
+        }
+    }
+
     fn deliver_all(&mut self, cx: &mut Context<'_>) {
         while let Some(message) = cx.loopback.pop_front() {
             self.deliver(cx, message);
--- a/crates/kernel/src/requests/forwarding/call.rs
+++ b/crates/kernel/src/requests/forwarding/call.rs
@@ -81,6 +81,9 @@
     pub(super) is_large: bool,
     /// Limit on the requests to upstreams that may reach a target.
     pub(super) max_attempts: u32,
+    /// Longest wait for a slot after which it can still be answered before this process is
+    /// killed; absent if there is no such limit.
+    pub(super) spare_time: Option<Duration>,
     /// Number of nodes that refused it because their target was at capacity.
     pub(super) refusals: usize,
     /// Number of requests to upstreams that may have reached a target.
@@ -157,6 +160,7 @@
             crashed_vms: Vec::new(),
             caller_priority: None,
             earlier_calls: 0,
+            spare_time: None,
             refusals: 0,
             attempts: 0,
             tried: Vec::new(),
@@ -303,7 +307,7 @@
             depth: self.depth,
             fingerprint: self.fingerprint,
             crashed_vms: self.crashed_vms.clone(),
-            max_wait: self.max_wait(cx.now.mono, has_others),
+            max_wait: min_wait(self.max_wait(cx.now.mono, has_others), self.spare_time),
             statement,
             workspace_priority: self.workspace_priority,
             caller_priority: self.caller_priority,
@@ -313,6 +317,11 @@
     }
 }
 
+/// Returns the shorter of two limits that may be absent.
+fn min_wait(a: Option<Duration>, b: Option<Duration>) -> Option<Duration> {
+    a.into_iter().chain(b).min()
+}
+
 fn delivery(semantics: Semantics, request: &HttpRequest) -> Result<Delivery> {
     if semantics.is_repeatable() {
         return Ok(Delivery::Repeatable);
--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -28,6 +28,7 @@
 mod shed;
 mod spillover;
 mod stall;
+mod stopping;
 mod upstream_load;
 
 use std::collections::BTreeMap;
@@ -64,6 +65,7 @@
 use crate::requests::context::Context;
 use crate::requests::context::ReadContext;
 use crate::requests::headers;
+use crate::requests::longest_times::LongestTimes;
 use crate::requests::sizes::ResponseSizes;
 use crate::requests::sizes::body_size;
 use crate::requests::timers::Timers;
@@ -96,6 +98,7 @@
     /// Times at which calls count as stalled.
     stalls: Timers<CallId>,
     response_times: ResponseTimes,
+    longest_times: LongestTimes,
     response_sizes: ResponseSizes,
     balancer: Balancer,
     budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -112,6 +115,7 @@
             deadlines: Timers::new(),
             stalls: Timers::new(),
             response_times: ResponseTimes::default(),
+            longest_times: LongestTimes::default(),
             response_sizes: ResponseSizes::default(),
             balancer: Balancer::new(seed),
             budgets: BTreeMap::new(),
@@ -175,7 +179,9 @@
                 self.answer(cx, id, retry::unknown_answer(Unknown::NotJudged));
             }
             Err(reason) => {
-                let retry_after = RETRY_AFTER;
+                let bound = cx.view.retry_after_stop(cx.now.mono);
+                let retry_after = bound.filter(|_| reason == NotRun::Leaving);
+                let retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 let answer = Answer::NotRun {
                     reason,
                     retry_after,
@@ -200,6 +206,10 @@
     }
 
     fn start(&mut self, cx: &mut Context<'_>, id: CallId, mut call: Call) {
+        if let Some(shortfall) = self.shortfall(cx, &call) {
+            self.refuse_for_stop(cx, id, &call, shortfall);
+            return;
+        }
         call.crashed_vms = cx.suspect_requests.crashed_vms(&call.fingerprint);
         if let Some(service) = cx.view.service(&call.kind.service) {
             let terms = cx.view.cfg().terms.retry;
@@ -235,6 +245,10 @@
             if let Some(call) = self.calls.get(&id) {
                 call.report(cx, RequestStep::Deadline);
             }
+            if let Some(call) = self.calls.get(&id) {
+                let elapsed = cx.now.mono - call.since;
+                self.longest_times.record(cx.now.mono, &call.kind, elapsed);
+            }
             for req in self.end_call(cx, id) {
                 self.record_timeout(cx, &req);
             }
@@ -255,6 +269,10 @@
         };
         self.balancer.record_reply(cx, &req, &reply);
         self.budget(cx, &call).observe(is_overload(&reply.outcome));
+        if !matches!(reply.outcome, ReplyOutcome::NotRun { .. }) {
+            let elapsed = cx.now.mono - call.since;
+            self.longest_times.record(cx.now.mono, &call.kind, elapsed);
+        }
         match reply.outcome {
             ReplyOutcome::Answered(response) => {
                 cx.suspect_requests.clear(&call.fingerprint);
@@ -295,6 +313,14 @@
 
     /// Sends a call to the next upstream, or answers with `answer` if none is left.
     fn forward(&mut self, cx: &mut Context<'_>, id: CallId, mut call: Call, answer: Answer) {
+        call.spare_time = match self.spare_time(cx, &call) {
+            Ok(spare_time) => spare_time,
+            Err(shortfall) => {
+                call.report(cx, RequestStep::TooLittleTime { shortfall });
+                self.answer(cx, id, answer);
+                return;
+            }
+        };
         let Some(upstream) = self.balancer.pick(cx, &call) else {
             call.report(cx, RequestStep::NoUpstream);
             self.answer(cx, id, answer);
--- a/crates/kernel/src/requests/forwarding/quota_waits.rs
+++ b/crates/kernel/src/requests/forwarding/quota_waits.rs
@@ -124,6 +124,16 @@
         }
     }
 
+    /// Refuses all waiting calls, before a stop.
+    pub(super) fn end_waiting(&mut self, cx: &mut Context<'_>) {
+        let waiting: Vec<_> = self.quota_waits.calls.keys().copied().collect();
+        for id in waiting {
+            if let Some(WaitingCall { call, retry_after }) = self.quota_waits.take(id) {
+                self.refuse_for_quota(cx, id, &call, retry_after);
+            }
+        }
+    }
+
     fn refuse_for_quota(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/kernel/src/requests/forwarding/retry.rs
+++ b/crates/kernel/src/requests/forwarding/retry.rs
@@ -111,8 +111,9 @@
             poison::record_loss(cx, &mut call, req, reason);
         }
         let answer = unknown_answer(reason);
-        let is_repeatable =
-            call.is_idempotent(cx.read()) && reason != Unknown::Deadline && !poison::is_poison(&call);
+        let is_repeatable = call.is_idempotent(cx.read())
+            && reason != Unknown::Deadline
+            && !poison::is_poison(&call);
         if is_repeatable && self.may_retry(cx, &call) {
             self.forward(cx, id, call, answer);
         } else {
--- a/crates/kernel/src/requests/forwarding/stall.rs
+++ b/crates/kernel/src/requests/forwarding/stall.rs
@@ -59,7 +59,8 @@
     pub(super) fn first_stall_timeout(&self, cx: &Context<'_>, call: &Call) -> Duration {
         let remaining = call.deadline - cx.now.mono;
         let stall_timeout = self.response_times.stall_timeout(&call.kind, remaining);
-        let may_send_second = cx.view.cfg().terms.even_load && call.delivery == Delivery::Repeatable;
+        let may_send_second =
+            cx.view.cfg().terms.even_load && call.delivery == Delivery::Repeatable;
         let latency = call.target_latency.filter(|_| may_send_second);
         let second = latency
             .and_then(|latency| self.response_times.second_send_timeout(&call.kind, latency));
@@ -94,6 +95,7 @@
             && call.depth.get() == 0
             && call.attempts < call.max_attempts
             && has_free
+            && self.shortfall(cx, call).is_none()
             && self.service_budget(cx, &service).withdraw_spare();
         if is_allowed {
             self.resend(cx, id);
@@ -112,8 +114,10 @@
         };
         let has_other = self.balancer.has_healthy(cx, call);
         let is_keyed = call.key().is_some();
+        let has_time = self.shortfall(cx, call).is_none();
         let is_safe = is_keyed || call.is_idempotent(cx.read());
-        if call.stalled.is_some() || !has_other || !is_safe || !self.may_reroute(cx, id) {
+        let is_possible = call.stalled.is_none() && has_other && is_safe && has_time;
+        if !is_possible || !self.may_reroute(cx, id) {
             return;
         }
         self.resend(cx, id);
--- a/crates/kernel/src/requests/leaving.rs
+++ b/crates/kernel/src/requests/leaving.rs
@@ -1,5 +1,7 @@
 //! Stop and drain of a node.
 
+use std::time::Duration;
+
 use celeryshore_model::HttpRequest;
 use celeryshore_model::Now;
 use celeryshore_model::Time;
@@ -10,8 +12,12 @@
 use super::StopStep;
 use super::lifecycle::Lifecycle;
 use super::lifecycle::Stage;
+use super::stop_time::StopTime;
 use crate::MemberState;
 
+/// Interval of the checks whether queued requests can still end before a stop.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 impl Requests {
     /// Updates the view and the lifecycle before the event is dispatched.
     pub(super) fn update_view(
@@ -50,6 +56,18 @@
         }
         let is_over = self.is_forwarding_over(now.mono);
         self.view.set_forwarding_stopped(is_over);
+        self.view.set_callers_bound(self.stage.are_callers_bound());
+    }
+
+    /// Returns when the stop needs the next tick: for the requests that wait for a slot, and
+    /// to answer what is still open shortly before the process is killed.
+    pub(super) fn stop_due(&self) -> Option<Time> {
+        let stop_time = self.view.stop_time()?;
+        let has_open = self.dispatcher.forwarder.open_count() > 0;
+        let answers_at = Some(stop_time.answers_at()).filter(|_| has_open);
+        let has_queued = self.dispatcher.admission.has_queued();
+        let check_at = has_queued.then(|| self.last_event_at + QUEUE_CHECK_INTERVAL);
+        answers_at.into_iter().chain(check_at).min()
     }
 
     /// Returns `true` if the node has been leaving for so long that it forwards no new calls.
@@ -67,8 +85,11 @@
 
     fn stop(&mut self, now: Now, actions: &mut Vec<RequestAction>) {
         self.leaving_since.get_or_insert(now.mono);
-        let longest = self.view.cfg().terms.stop.longest;
-        self.replace_stage(|stage| stage.stop(now.mono, longest));
+        let terms = self.view.cfg().terms.stop;
+        if let Some(grace) = terms.grace {
+            self.view.set_stop_time(StopTime::new(now.mono, grace));
+        }
+        self.replace_stage(|stage| stage.stop(now.mono, terms.longest));
         actions.push(RequestAction::ReportStop(StopStep::Stopping));
     }
 
--- a/crates/kernel/src/requests/lifecycle.rs
+++ b/crates/kernel/src/requests/lifecycle.rs
@@ -203,6 +203,16 @@
         }
     }
 
+    /// Returns `true` if the callers that still come have no other node: the platform has
+    /// been told often enough that this one isn't ready.
+    pub(super) const fn are_callers_bound(&self) -> bool {
+        match self {
+            Self::Stopping(stopping) => stopping.state.failed_checks >= READINESS_FAILURES,
+            Self::Draining(_) | Self::Drained(_) => true,
+            Self::Serving(_) => false,
+        }
+    }
+
     /// Returns the step that ends the stop, if it is over.
     pub(super) fn stop_end(&self, now: Time) -> Option<StopStep> {
         match self {
--- a/crates/kernel/src/requests/link.rs
+++ b/crates/kernel/src/requests/link.rs
@@ -66,7 +66,8 @@
         time.filter(|t| *t > LARGE_TRANSFER).unwrap_or_default()
     }
 
-    fn time(&self, size: ByteSize) -> Duration {
+    /// Returns the time on the link of a message of this size.
+    pub(super) fn time(&self, size: ByteSize) -> Duration {
         self.rate.map(|rate| rate.time(size)).unwrap_or_default()
     }
 }
--- /dev/null
+++ b/crates/kernel/src/requests/longest_times.rs
@@ -0,0 +1,84 @@
+//! Longest times by request kind, from which follows whether a request can still end in time.
+//!
+//! Load pattern: nodes that are stopped one after the other, with targets that take many
+//! times as long for a few requests. The mean says nothing of these, so the longest time
+//! that was seen counts, with a reserve that is larger the fewer were seen.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celeryshore_model::KindId;
+use celeryshore_model::Time;
+
+/// Period over which the longest time is kept. A time counts in this period and the next.
+const PERIOD: Duration = Duration::from_secs(30);
+/// Maximum number of kinds whose times are kept.
+const MAX_KINDS: usize = 4_096;
+/// Reserve over the longest time, as an inverse share of it.
+const RESERVE_DIVISOR: u32 = 4;
+/// Further reserve, as a multiple of the longest time, divided by the number of times seen.
+const FEW_SEEN_RESERVE: u32 = 2;
+
+/// Longest of some times and their number.
+#[derive(Clone, Copy, Debug, Default)]
+struct Longest {
+    time: Duration,
+    count: u32,
+}
+
+#[derive(Debug)]
+struct KindTimes {
+    period_start: Time,
+    in_period: Longest,
+    in_previous_period: Longest,
+}
+
+impl KindTimes {
+    fn record(&mut self, now: Time, time: Duration) {
+        let elapsed = now - self.period_start;
+        if elapsed >= PERIOD {
+            let is_next = elapsed < PERIOD * 2;
+            self.in_previous_period = Some(self.in_period).filter(|_| is_next).unwrap_or_default();
+            self.in_period = Longest::default();
+            self.period_start = now;
+        }
+        self.in_period.time = self.in_period.time.max(time);
+        self.in_period.count = self.in_period.count.saturating_add(1);
+    }
+
+    /// Returns the longest time with its reserve.
+    fn upper(&self) -> Duration {
+        let longest = self.in_period.time.max(self.in_previous_period.time);
+        let count = self.in_period.count + self.in_previous_period.count;
+        longest + longest / RESERVE_DIVISOR + longest * FEW_SEEN_RESERVE / count.max(1)
+    }
+}
+
+/// Longest times by request kind.
+#[derive(Debug, Default)]
+pub(super) struct LongestTimes {
+    kinds: BTreeMap<KindId, KindTimes>,
+}
+
+impl LongestTimes {
+    /// Records the time that a request took, or took at least.
+    pub(super) fn record(&mut self, now: Time, kind: &KindId, time: Duration) {
+        if let Some(times) = self.kinds.get_mut(kind) {
+            times.record(now, time);
+        } else if self.kinds.len() < MAX_KINDS {
+            let mut times = KindTimes {
+                period_start: now,
+                in_period: Longest::default(),
+                in_previous_period: Longest::default(),
+            };
+            times.record(now, time);
+            self.kinds.insert(kind.clone(), times);
+        }
+    }
+
+    /// Returns the time that a request of a kind takes at most, as far as can be told;
+    /// `None` if none was seen.
+    pub(super) fn upper(&self, kind: &KindId) -> Option<Duration> {
+        self.kinds.get(kind).map(KindTimes::upper)
+    }
+}
--- a/crates/kernel/src/requests/mod.rs
+++ b/crates/kernel/src/requests/mod.rs
@@ -13,7 +13,8 @@
 //! `workspaces` finds the workspace of a caller's key, and `quota` limits the requests of
 //! workspaces across all nodes. `load_board` holds the latest load reports of targets.
 //! `link` follows the load of the network link by large responses, whose `sizes` are
-//! averaged by kind. `lifecycle` and `leaving` stop a node. `suspect_requests`
+//! averaged by kind. `lifecycle` and `leaving` stop a node; `stop_time` compares the time that
+//! is left to it with the `longest_times` of requests. `suspect_requests`
 //! quarantines requests that crash their targets, and `freeze` detects that the process
 //! was suspended, because messages that are read afterwards may be older than they say.
 
@@ -32,12 +33,14 @@
 mod lifecycle;
 mod link;
 mod load_board;
+mod longest_times;
 mod peers;
 mod quota;
 mod rendezvous;
 mod report;
 mod sizes;
 mod status;
+mod stop_time;
 mod summary;
 mod suspect_requests;
 mod terms;
@@ -100,6 +103,8 @@
 pub use self::report::RequestStep;
 pub use self::report::TargetReport;
 pub use self::status::RequestsStatus;
+pub use self::stop_time::ExpectedFrom;
+pub use self::stop_time::Shortfall;
 pub use self::summary::KindCounts;
 pub use self::summary::WorkSummary;
 use self::suspect_requests::SuspectRequests;
@@ -286,6 +291,7 @@
             self.dispatcher.admission.next_due(self.last_event_at),
             self.quotas.next_due(),
             self.stage.next_due(),
+            self.stop_due(),
         ];
         let wake_at = due.into_iter().flatten().min();
         if let Some(at) = wake_at.filter(|_| wake_at != self.wake_at) {
--- a/crates/kernel/src/requests/report.rs
+++ b/crates/kernel/src/requests/report.rs
@@ -12,6 +12,7 @@
 
 use crate::NotRun;
 use crate::Unknown;
+use crate::requests::Shortfall;
 
 /// A step in the forwarding of a request, with the data that it depends on.
 #[derive(Clone, Debug, Display)]
@@ -94,6 +95,16 @@
         /// Upstream that the balancer chose.
         upstream: UpstreamName,
     },
+    /// The request can't be answered before this process is killed. It was refused, or isn't
+    /// sent to a further upstream.
+    #[display("refused here: leaving, {shortfall}")]
+    TooLittleTime {
+        /// Time left and time needed.
+        shortfall: Shortfall,
+    },
+    /// The process is about to be killed while the request is open.
+    #[display("ended by the stop of this node")]
+    Stopped,
     /// No upstream is left to try.
     #[display("no upstream left")]
     NoUpstream,
--- a/crates/kernel/src/requests/terms.rs
+++ b/crates/kernel/src/requests/terms.rs
@@ -95,12 +95,16 @@
 pub struct StopTerms {
     /// Longest time for which a stopping node goes on serving.
     pub longest: Duration,
+    /// Time after which the platform kills a process that it has told to stop, if it is
+    /// known. Requests that can't be answered before are refused.
+    pub grace: Option<Duration>,
 }
 
 impl Default for StopTerms {
     fn default() -> Self {
         Self {
             longest: LONGEST_STOP,
+            grace: None,
         }
     }
 }
--- a/crates/kernel/src/requests/view.rs
+++ b/crates/kernel/src/requests/view.rs
@@ -27,6 +27,7 @@
 use crate::MemberState;
 use crate::requests::RequestsConfig;
 use crate::requests::peers::Peers;
+use crate::requests::stop_time::StopTime;
 use crate::requests::workspaces::Workspaces;
 
 /// Destination of a request, by its route.
@@ -60,6 +61,8 @@
     age: Option<Duration>,
     is_leaving: bool,
     is_forwarding_stopped: bool,
+    /// End of this process, once it was told to stop and if the grace period is known.
+    stop_time: Option<StopTime>,
 }
 
 impl View {
@@ -79,6 +82,7 @@
             age: None,
             is_leaving: false,
             is_forwarding_stopped: false,
+            stop_time: None,
         }
     }
 
@@ -169,6 +173,30 @@
         self.is_forwarding_stopped = is_stopped;
     }
 
+    /// Records when the platform kills this process, unless that is known already.
+    pub(super) fn set_stop_time(&mut self, stop_time: StopTime) {
+        self.stop_time.get_or_insert(stop_time);
+    }
+
+    /// Returns when the platform kills this process, once it was told to stop.
+    pub(super) const fn stop_time(&self) -> Option<StopTime> {
+        self.stop_time
+    }
+
+    /// Records whether the platform would have sent the callers elsewhere by now if there
+    /// was another node for them.
+    pub(super) const fn set_callers_bound(&mut self, are_bound: bool) {
+        if let Some(stop_time) = &mut self.stop_time {
+            stop_time.set_callers_bound(are_bound);
+        }
+    }
+
+    /// Returns the delay after which a caller that is refused because the node stops may
+    /// retry here, if it has no other node.
+    pub(super) fn retry_after_stop(&self, now: Time) -> Option<Duration> {
+        self.stop_time.and_then(|stop| stop.retry_after(now))
+    }
+
     /// Returns `true` if this node has stopped forwarding calls.
     pub(super) const fn is_forwarding_stopped(&self) -> bool {
         self.is_forwarding_stopped
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -315,6 +315,7 @@
             quota: quota_terms(settings),
             stop: StopTerms {
                 longest: settings.limits.leaving(),
+                grace: settings.limits.grace,
             },
             ..store.map_or_else(Terms::default, |store| request_terms(settings, store))
         },
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -14,9 +14,9 @@
 const DEFAULT_CONNECTIONS: usize = 1_024;
 const DEFAULT_IDLE: Duration = Duration::from_mins(1);
 const DEFAULT_LEAVING: Duration = Duration::from_secs(1);
-/// Share of the grace period in which a stopping node goes on serving. The rest is left to
-/// finish the work in progress.
-const LEAVING_SHARE: (u32, u32) = (2, 3);
+/// Share of the grace period in which a stopping node goes on serving what can be answered
+/// before its end. The rest is left to write the last answers.
+const LEAVING_SHARE: (u32, u32) = (19, 20);
 
 /// Limits at the callers' port. If the configuration sets limits too, its limits replace
 /// `body` and `idle`, and the smaller header limit applies.
@@ -34,11 +34,12 @@
     /// Time without progress after which a connection is closed.
     #[serde(deserialize_with = "idle")]
     pub idle: Duration,
-    /// Longest time for which a node that was told to stop goes on serving; two thirds of
-    /// `grace` if absent.
+    /// Longest time for which a node that was told to stop goes on serving; nearly all of
+    /// `grace` if absent. A longer one is cut to that.
     #[serde(deserialize_with = "leaving")]
     pub leaving: Option<Duration>,
-    /// Time after which the platform kills a process that it has told to stop.
+    /// Time after which the platform kills a process that it has told to stop. Requests that
+    /// may take longer than what is left of it are refused.
     #[serde(deserialize_with = "grace")]
     pub grace: Option<Duration>,
 }
@@ -57,13 +58,14 @@
     ///     grace: Some(Duration::from_secs(6)),
     ///     ..SettingsLimits::default()
     /// };
-    /// assert_eq!(limits.leaving(), Duration::from_secs(4));
+    /// assert_eq!(limits.leaving(), Duration::from_millis(5_700));
     /// ```
     #[must_use]
     pub fn leaving(&self) -> Duration {
         let (numerator, denominator) = LEAVING_SHARE;
         let share = self.grace.map(|grace| grace * numerator / denominator);
-        self.leaving.or(share).unwrap_or(DEFAULT_LEAVING)
+        let times = [self.leaving, share].into_iter().flatten();
+        times.min().unwrap_or(DEFAULT_LEAVING)
     }
 }
 
