Decide in one place which response closes a caller's connection

At a SIGTERM, requests that callers sent behind a response in transfer ran at their targets and were never answered, up to ten at one stop on a slow link.

The writer decided that a response closes the connection before it waited for the link; the reader did not see it and went on passing requests on, which the end of the writer dropped. Reader and writer now ask one Pipeline, the reader before it passes a request on, the writer before it encodes a response. While the node stops, a connection has one request in progress at most.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -9,8 +9,8 @@
 //! [`Requests`] handles requests. [`Fleet`] handles membership and the
 //! distribution of the configuration. [`Feed`] takes the place of the fleet on
 //! platforms that publish the configuration and the upstreams in a store.
-//! [`Kernel`] combines the three. `exchange` and `inquiry` define the messages between
-//! nodes about requests, and `dump` the sections of the state dump.
+//! [`Kernel`] combines the three. `pipeline` decides which response closes a caller's
+//! connection. `exchange` and `inquiry` define the messages between nodes about requests, and `dump` the sections of the state dump.
 
 mod dump;
 mod exchange;
@@ -19,6 +19,7 @@
 mod inquiry;
 mod kernel;
 mod load;
+mod pipeline;
 mod requests;
 mod statement;
 
@@ -110,6 +111,8 @@
 pub use crate::load::LoadReport;
 pub use crate::load::MAX_KNOWN_LOADS;
 pub use crate::load::Speed;
+pub use crate::pipeline::Pipeline;
+pub use crate::pipeline::PipelineStep;
 pub use crate::requests::Answer;
 pub use crate::requests::CallId;
 pub use crate::requests::ColdStartTerms;
--- a/crates/kernel/src/requests/admission/stopping.rs
+++ b/crates/kernel/src/requests/admission/stopping.rs
@@ -30,8 +30,7 @@
     ) -> Option<Shortfall> {
         let stop_time = cx.view.stop_time()?;
         let transfer = self.link_backlog(cx) + cx.link.transfer_time(kind);
-        let spare =
-            stop_time.spare_time(cx.now.mono, &self.longest_runs, kind, deadline, transfer);
+        let spare = stop_time.spare_time(cx.now.mono, &self.longest_runs, kind, deadline, transfer);
         spare.err()
     }
 
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -5,9 +5,9 @@
 //! written in the order of the requests.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -15,6 +15,8 @@
 use bytes::Bytes;
 use celeryshore_kernel::Answer;
 use celeryshore_kernel::CallId;
+use celeryshore_kernel::Pipeline;
+use celeryshore_kernel::PipelineStep;
 use celeryshore_model::HttpRequest;
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
@@ -36,15 +38,13 @@
 /// Highest number of requests of one connection whose responses wait to be written.
 const MAX_PIPELINED: usize = 32;
 
-/// Interval of the checks whether a connection that is to close still waits for a response.
-const UNANSWERED_POLL: Duration = Duration::from_millis(20);
-
 /// State that the reader and the writer of a connection share.
 struct Session<'a> {
     callers: &'a Arc<Callers>,
     guard: &'a ConnectionGuard,
-    /// Number of requests that were read but not yet answered.
-    unanswered: AtomicUsize,
+    pipeline: Mutex<Pipeline>,
+    /// Tells the reader that a response has been written.
+    written: (Sender<()>, Receiver<()>),
 }
 
 /// Next response to write.
@@ -56,8 +56,6 @@
 /// A request that the kernel is to answer.
 struct PendingCall {
     method: Bytes,
-    /// The connection closes after the response.
-    closes: bool,
     start: Instant,
     call: Call,
 }
@@ -92,7 +90,8 @@
     let session = Session {
         callers: &callers,
         guard: &guard,
-        unanswered: AtomicUsize::new(0),
+        pipeline: Mutex::default(),
+        written: async_channel::bounded(1),
     };
     let stream = conn.stream();
     let (tx, rx) = async_channel::bounded(MAX_PIPELINED);
@@ -118,23 +117,26 @@
     /// Reads requests and passes them to the kernel as they arrive.
     async fn read(&self, mut conn: Connection, tx: Sender<PendingResponse>) -> ReadEnd {
         loop {
-            let pending = match self.next_request(&mut conn).await {
-                Ok(Some(incoming)) => self.start_call(incoming),
+            let read = match self.next_request(&mut conn).await {
+                Ok(Some(incoming)) => Ok(incoming),
                 Ok(None) => return ReadEnd::Disconnected,
                 Err(err) => match Refusal::from_error(&err) {
-                    Some(refusal) => PendingResponse::Refusal(refusal),
+                    Some(refusal) => Err(refusal),
                     None => return ReadEnd::Disconnected,
                 },
             };
-            let is_last = match &pending {
-                PendingResponse::Call(call) => call.closes,
-                PendingResponse::Refusal(_) => true,
+            let is_last = read.as_ref().map_or(true, |incoming| incoming.closes);
+            if let Some(end) = self.admit(&mut conn, is_last).await {
+                return end;
+            }
+            let pending = match read {
+                Ok(incoming) => self.start_call(incoming.request),
+                Err(refusal) => PendingResponse::Refusal(refusal),
             };
-            self.unanswered.fetch_add(1, Ordering::Relaxed);
             if tx.send(pending).await.is_err() {
                 return ReadEnd::WriterDone;
             }
-            if is_last {
+            if self.pipeline().is_closed() {
                 drop(tx);
                 conn.wait_until_closed(self.callers.limits.body).await;
                 return ReadEnd::Disconnected;
@@ -142,11 +144,39 @@
         }
     }
 
-    fn start_call(&self, incoming: Incoming) -> PendingResponse {
-        let Incoming { request, closes } = incoming;
+    /// Waits until a request that was read may be passed on. Returns why it may not, if an
+    /// earlier response closes the connection or its caller does.
+    async fn admit(&self, conn: &mut Connection, is_last: bool) -> Option<ReadEnd> {
+        let admitted = async {
+            loop {
+                let is_stopping = self.guard.is_closing();
+                let step = self.pipeline().admit(is_last, is_stopping);
+                match step {
+                    PipelineStep::PassOn => return None,
+                    PipelineStep::Reject => return Some(ReadEnd::WriterDone),
+                    PipelineStep::Wait => self.wait_until_written().await,
+                }
+            }
+        };
+        let disconnected = async {
+            conn.wait_until_closed(self.callers.limits.body).await;
+            Some(ReadEnd::Disconnected)
+        };
+        admitted.or(disconnected).await
+    }
+
+    fn pipeline(&self) -> MutexGuard<'_, Pipeline> {
+        self.pipeline.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the writer has written a response, or has ended.
+    async fn wait_until_written(&self) {
+        let _ = self.written.1.recv().await;
+    }
+
+    fn start_call(&self, request: HttpRequest) -> PendingResponse {
         PendingResponse::Call(Box::new(PendingCall {
             method: request.method.clone(),
-            closes,
             start: Instant::now(),
             call: self.call(request),
         }))
@@ -184,16 +214,15 @@
             loop {
                 let deadline = Instant::now() + self.callers.limits().idle_timeout;
                 self.callers.driver.timers.sleep_until(deadline).await;
-                if self.unanswered.load(Ordering::Relaxed) == 0 {
+                if self.pipeline().close_idle() {
                     return Ok(false);
                 }
             }
         };
         let draining = async {
             self.guard.ending().await;
-            while self.unanswered.load(Ordering::Relaxed) > 0 {
-                let next = Instant::now() + UNANSWERED_POLL;
-                self.callers.driver.timers.sleep_until(next).await;
+            while !self.pipeline().close_idle() {
+                self.wait_until_written().await;
             }
             Ok(false)
         };
@@ -215,7 +244,6 @@
             };
             let PendingCall {
                 method,
-                closes,
                 start,
                 mut call,
             } = *pending;
@@ -224,12 +252,13 @@
             };
             call.is_answered = true;
             record::record(&answer, start);
-            let is_draining = self.guard.is_closing() && rx.is_empty();
-            let closes = closes || is_draining;
+            let closes = self.pipeline().closes(self.guard.is_closing());
             let dialect = &self.callers.driver.dialect;
             let bytes = answer::encode(answer, dialect, &method, closes).await?;
             self.send(stream, &bytes).await?;
-            self.unanswered.fetch_sub(1, Ordering::Relaxed);
+            self.pipeline().finish();
+            // A full channel has woken the reader already.
+            let _ = self.written.0.try_send(());
             if closes {
                 return Ok(());
             }
--- a/crates/node/tests/drain.rs
+++ b/crates/node/tests/drain.rs
@@ -11,6 +11,8 @@
 use std::path::Path;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
@@ -267,3 +269,57 @@
         }
     }
 }
+
+/// Guards against a request that is passed on while the response before it, which closes
+/// the connection, waits for the link. It ran at the target and was never answered.
+#[test]
+fn request_behind_last() {
+    /// Takes the link 0.4 s.
+    const LARGE: usize = 45_000;
+    let vm = Vm::next();
+    support::start_platform(vm, support::rules(&[vm]));
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let heads = seen.clone();
+    FakeServer::target(vm, move |head| {
+        heads.lock().unwrap().push(head.to_owned());
+        let is_large = head.contains("/large");
+        thread::sleep(RESPONSE_TIME / 3);
+        reply_ok(&"x".repeat(if is_large { LARGE } else { 1 }))
+    });
+    let node = support::start(&support::settings(vm, vm, "link: 1Mbit/s\n"));
+    let mut caller = Caller::connect(vm.callers());
+    caller.send("GET /stock/large HTTP/1.1\r\nhost: a\r\n\r\n");
+    thread::sleep(RESPONSE_TIME / 6);
+    let drained = support::drain(node);
+    thread::sleep(RESPONSE_TIME / 2);
+    caller.send("GET /stock/further HTTP/1.1\r\nhost: a\r\n\r\n");
+    let response = caller.receive().expect("a response");
+    assert_eq!(response.body.len(), LARGE);
+    assert_eq!(response.header("connection"), Some("close"));
+    assert!(caller.is_closed());
+    drained.join().unwrap();
+    let heads = seen.lock().unwrap();
+    assert!(!heads.iter().any(|head| head.contains("/further")));
+}
+
+/// Guards against requests that are cut behind an earlier one when the node stops: those
+/// that were passed on before are answered, in order, and the last response closes.
+#[test]
+fn pipeline_while_stopping() {
+    let vm = vm_with_slow_target();
+    let node = support::start(&support::settings(vm, vm, ""));
+    let mut caller = Caller::connect(vm.callers());
+    caller.send([GET; 3].concat());
+    thread::sleep(RESPONSE_TIME / 3);
+    let drained = support::drain(node);
+    thread::sleep(RESPONSE_TIME / 3);
+    caller.send(GET);
+    for n in 1..=3 {
+        let response = caller.receive().expect("a response");
+        assert_eq!(response.body, "whole");
+        let closes = response.header("connection") == Some("close");
+        assert_eq!(closes, n == 3);
+    }
+    assert!(caller.is_closed());
+    drained.join().unwrap();
+}
