Tell other nodes the longest run of a kind

Each reply carries the longest run of its kind at the target, which raises what the receiver expects; the reserve for kinds that were rarely seen is larger.

--- a/crates/kernel/src/exchange.rs
+++ b/crates/kernel/src/exchange.rs
@@ -183,6 +183,8 @@
     pub others: Vec<KnownLoad>,
     /// Time that the target took for this request; absent if it didn't respond.
     pub run_time: Option<Duration>,
+    /// Longest run of the kind that the admitting node has seen lately at its target.
+    pub longest_run: Option<Duration>,
     /// What the target last stated about itself; absent if the admitting node has no
     /// response of it yet.
     pub statement: Option<TargetStatement>,
--- a/crates/kernel/src/requests/admission/expiry.rs
+++ b/crates/kernel/src/requests/admission/expiry.rs
@@ -159,11 +159,11 @@
             && let WorkState::Running { since } = work.state
         {
             let now = cx.now.mono;
-            self.longest_runs
-                .record(now, &work.handover.kind, now - since);
+            let kind = work.handover.kind.clone();
             self.kind_stats
-                .record_end(&work.handover.kind, RunEnd::Aborted, now - since);
-            self.scheduler.abandon(now, since, &work.handover.kind);
+                .record_end(&kind, RunEnd::Aborted, now - since);
+            self.scheduler.abandon(now, since, &kind);
+            self.record_run(cx, &kind, now - since);
         }
         cx.actions.push(RequestAction::Abort { work: id });
         self.remove(cx, id, KeyOutcome::Lost);
--- a/crates/kernel/src/requests/admission/mod.rs
+++ b/crates/kernel/src/requests/admission/mod.rs
@@ -280,7 +280,8 @@
             let dialect = &cx.view.cfg().terms.dialect;
             let run_time = outcome::run_time(&work, cx.now.mono, &outcome);
             let outcome = outcome::reply_outcome(dialect, outcome);
-            self.reply_after_run(cx, origin, outcome, run_time);
+            let longest_run = self.longest_runs.longest(&work.handover.kind);
+            self.reply_after_run(cx, origin, outcome, (run_time, longest_run));
         }
         self.start_queued(cx);
     }
@@ -332,7 +333,7 @@
     }
 
     fn reply(&self, cx: &mut Context<'_>, origin: Origin, outcome: ReplyOutcome) {
-        self.reply_after_run(cx, origin, outcome, None);
+        self.reply_after_run(cx, origin, outcome, (None, None));
     }
 
     fn reply_after_run(
@@ -340,7 +341,7 @@
         cx: &mut Context<'_>,
         origin: Origin,
         outcome: ReplyOutcome,
-        run_time: Option<Duration>,
+        (run_time, longest_run): (Option<Duration>, Option<Duration>),
     ) {
         if let (Origin::Peer(_), ReplyOutcome::Answered(response)) = (origin, &outcome) {
             cx.link.send(cx.now.mono, body_size(response));
@@ -353,6 +354,7 @@
             },
             others: report::others(cx, origin),
             run_time,
+            longest_run,
             statement: self.statement(cx.view, cx.now.mono),
             version: cx.view.version(),
             incarnation: cx.view.cfg().incarnation,
--- a/crates/kernel/src/requests/admission/observe.rs
+++ b/crates/kernel/src/requests/admission/observe.rs
@@ -20,8 +20,7 @@
         };
         let now = cx.now.mono;
         if !matches!(outcome, Outcome::NeverSent) {
-            self.longest_runs
-                .record(now, &work.handover.kind, now - since);
+            self.record_run(cx, &work.handover.kind, now - since);
         }
         if let Outcome::Answered(response) = outcome {
             self.observe_response(cx, &work.handover.upstream, response);
--- a/crates/kernel/src/requests/admission/stopping.rs
+++ b/crates/kernel/src/requests/admission/stopping.rs
@@ -5,6 +5,8 @@
 //! the platform kills the process. The others can go to other targets, so their forwarding
 //! nodes are told as soon as it is known.
 
+use std::time::Duration;
+
 use celeryshore_model::KindId;
 use celeryshore_model::Time;
 
@@ -30,10 +32,23 @@
     ) -> Option<Shortfall> {
         let stop_time = cx.view.stop_time()?;
         let transfer = self.link_backlog(cx) + cx.link.transfer_time(kind);
-        let spare = stop_time.spare_time(cx.now.mono, &self.longest_runs, kind, deadline, transfer);
+        let spare = stop_time.spare_time(
+            cx.now.mono,
+            cx.loads.longest_runs(),
+            kind,
+            deadline,
+            transfer,
+        );
         spare.err()
     }
 
+    /// Records the time of a run, or the time after which it was given up.
+    pub(super) fn record_run(&mut self, cx: &mut Context<'_>, kind: &KindId, run_time: Duration) {
+        let now = cx.now.mono;
+        self.longest_runs.record(now, kind, run_time);
+        cx.loads.observe_longest_run(now, kind, run_time, None);
+    }
+
     /// Returns the refusal of a request that can't end before this process is killed.
     pub(super) fn stop_refusal(&self, cx: &Context<'_>, arrival: &Arrival) -> Option<Refusal> {
         let shortfall = self.shortfall(cx, &arrival.handover.kind, arrival.deadline);
--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -270,8 +270,7 @@
         self.balancer.record_reply(cx, &req, &reply);
         self.budget(cx, &call).observe(is_overload(&reply.outcome));
         if !matches!(reply.outcome, ReplyOutcome::NotRun { .. }) {
-            let elapsed = cx.now.mono - call.since;
-            self.longest_times.record(cx.now.mono, &call.kind, elapsed);
+            self.record_time(cx, &call, reply.run_time, reply.longest_run);
         }
         match reply.outcome {
             ReplyOutcome::Answered(response) => {
--- a/crates/kernel/src/requests/forwarding/stopping.rs
+++ b/crates/kernel/src/requests/forwarding/stopping.rs
@@ -79,6 +79,27 @@
         }
     }
 
+    /// Records the time of a call that ended, and how much longer the longest run of its kind
+    /// took at the same target.
+    pub(super) fn record_time(
+        &mut self,
+        cx: &mut Context<'_>,
+        call: &Call,
+        run_time: Option<Duration>,
+        longest_run: Option<Duration>,
+    ) {
+        let now = cx.now.mono;
+        let elapsed = now - call.since;
+        self.longest_times.record(now, &call.kind, elapsed);
+        if let Some(run_time) = run_time {
+            cx.loads
+                .observe_longest_run(now, &call.kind, run_time, longest_run);
+            let longer = longest_run.map(|longest| longest.saturating_sub(run_time));
+            self.longest_times
+                .raise(&call.kind, elapsed + longer.unwrap_or_default());
+        }
+    }
+
     /// Returns the time until the link has sent the answer of a call, behind those of the
     /// other open calls.
     fn transfer_time(&self, cx: &Context<'_>, call: &Call) -> Duration {
--- a/crates/kernel/src/requests/load_board.rs
+++ b/crates/kernel/src/requests/load_board.rs
@@ -19,6 +19,7 @@
 use crate::KnownLoad;
 use crate::LoadReport;
 use crate::MAX_KNOWN_LOADS;
+use crate::requests::longest_times::LongestTimes;
 
 /// Age from which a report says nothing.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
@@ -64,6 +65,7 @@
 pub(super) struct LoadBoard {
     loads: BTreeMap<UpstreamName, TargetLoad>,
     usual_runs: BTreeMap<KindId, Duration>,
+    longest_runs: LongestTimes,
 }
 
 impl LoadBoard {
@@ -176,6 +178,26 @@
         }
     }
 
+    /// Records the run time of a request of a kind, and the longest one that is known of its
+    /// target.
+    pub(super) fn observe_longest_run(
+        &mut self,
+        now: Time,
+        kind: &KindId,
+        run_time: Duration,
+        longest: Option<Duration>,
+    ) {
+        self.longest_runs.record(now, kind, run_time);
+        if let Some(longest) = longest {
+            self.longest_runs.raise(kind, longest);
+        }
+    }
+
+    /// Returns the longest run times of all targets.
+    pub(super) const fn longest_runs(&self) -> &LongestTimes {
+        &self.longest_runs
+    }
+
     /// Returns the usual run time of a kind over all targets.
     pub(super) fn usual_run(&self, kind: &KindId) -> Option<Duration> {
         self.usual_runs.get(kind).copied()
--- a/crates/kernel/src/requests/longest_times.rs
+++ b/crates/kernel/src/requests/longest_times.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: nodes that are stopped one after the other, with targets that take many
 //! times as long for a few requests. The mean says nothing of these, so the longest time
-//! that was seen counts, with a reserve that is larger the fewer were seen.
+//! that was seen counts, with a reserve that is larger the fewer were seen. A node that has
+//! just started has seen few, so nodes tell each other their longest runs on replies.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 /// Reserve over the longest time, as an inverse share of it.
 const RESERVE_DIVISOR: u32 = 4;
 /// Further reserve, as a multiple of the longest time, divided by the number of times seen.
-const FEW_SEEN_RESERVE: u32 = 2;
+const FEW_SEEN_RESERVE: u32 = 16;
 
 /// Longest of some times and their number.
 #[derive(Clone, Copy, Debug, Default)]
@@ -46,9 +47,14 @@
         self.in_period.count = self.in_period.count.saturating_add(1);
     }
 
+    /// Returns the longest time without a reserve.
+    fn longest(&self) -> Duration {
+        self.in_period.time.max(self.in_previous_period.time)
+    }
+
     /// Returns the longest time with its reserve.
     fn upper(&self) -> Duration {
-        let longest = self.in_period.time.max(self.in_previous_period.time);
+        let longest = self.longest();
         let count = self.in_period.count + self.in_previous_period.count;
         longest + longest / RESERVE_DIVISOR + longest * FEW_SEEN_RESERVE / count.max(1)
     }
@@ -76,6 +82,19 @@
         }
     }
 
+    /// Records the longest time that another node has seen. It raises that of a kind that was
+    /// seen here, but doesn't count as a further time.
+    pub(super) fn raise(&mut self, kind: &KindId, time: Duration) {
+        if let Some(times) = self.kinds.get_mut(kind) {
+            times.in_period.time = times.in_period.time.max(time);
+        }
+    }
+
+    /// Returns the longest time of a kind; `None` if none was seen.
+    pub(super) fn longest(&self, kind: &KindId) -> Option<Duration> {
+        self.kinds.get(kind).map(KindTimes::longest)
+    }
+
     /// Returns the time that a request of a kind takes at most, as far as can be told;
     /// `None` if none was seen.
     pub(super) fn upper(&self, kind: &KindId) -> Option<Duration> {
--- a/crates/node/tests/support/peer.rs
+++ b/crates/node/tests/support/peer.rs
@@ -85,6 +85,7 @@
         },
         others: Vec::new(),
         run_time: None,
+        longest_run: None,
         statement: None,
         version: handover.version,
         incarnation: Incarnation(1),
