Test the end of the grace period with a running node

drain::end_of_grace checks that settings, driver and kernel agree: a late request is refused at once, and an open one is answered before the end.

--- a/crates/kernel/src/requests/forwarding/mod.rs
+++ b/crates/kernel/src/requests/forwarding/mod.rs
@@ -244,8 +244,6 @@
         while let Some(id) = self.deadlines.pop(cx.now.mono) {
             if let Some(call) = self.calls.get(&id) {
                 call.report(cx, RequestStep::Deadline);
-            }
-            if let Some(call) = self.calls.get(&id) {
                 let elapsed = cx.now.mono - call.since;
                 self.longest_times.record(cx.now.mono, &call.kind, elapsed);
             }
--- a/crates/node/tests/drain.rs
+++ b/crates/node/tests/drain.rs
@@ -15,6 +15,7 @@
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use celeryshore_kernel::Delivery;
 use celeryshore_kernel::Handover;
@@ -323,3 +324,34 @@
     assert!(caller.is_closed());
     drained.join().unwrap();
 }
+
+/// Guards against requests that are cut when the platform kills a process that it has told
+/// to stop: a late one is refused at once, and one that is still open is answered before.
+#[test]
+fn end_of_grace() {
+    const GRACE: Duration = Duration::from_secs(1);
+    let vm = Vm::next();
+    support::start_platform(vm, support::rules(&[vm]));
+    FakeServer::target(vm, |_| {
+        thread::sleep(GRACE * 2);
+        reply_ok("whole")
+    });
+    let limits = "limits:\n  grace: 1s\n";
+    let node = support::start(&support::settings(vm, vm, limits));
+    let mut open = Caller::connect(vm.callers());
+    let mut late = Caller::connect(vm.callers());
+    open.send(GET);
+    thread::sleep(GRACE / 10);
+    let stopped = Instant::now();
+    let drained = support::drain(node);
+    thread::sleep(GRACE / 10);
+    late.send(GET);
+    let refused = late.receive().expect("a response");
+    assert_eq!(refused.outcome(), Some("not-run"));
+    assert_eq!(refused.reason(), Some("leaving"));
+    assert!(stopped.elapsed() < GRACE / 2);
+    let unknown = open.receive().expect("a response");
+    assert_eq!(unknown.outcome(), Some("unknown"));
+    assert!(stopped.elapsed() < GRACE);
+    drained.join().unwrap();
+}
