Pass requests of a pipeline on together while the node stops

A request now waits only behind one that has been open for more than 250 ms. Callers send the requests of a pipeline within milliseconds, and one that takes long is what makes those behind it late.

--- a/crates/kernel/src/pipeline.rs
+++ b/crates/kernel/src/pipeline.rs
@@ -3,8 +3,17 @@
 //! Load pattern: callers that send further requests before the first is answered, on
 //! connections that are closed when the node stops. The reader and the writer of a
 //! connection both ask [`Pipeline`], so that no request is passed on behind a response that
-//! announces the end of the connection. While the node stops, a connection has at most one
-//! request in progress: a response behind another could come too late.
+//! announces the end of the connection. While the node stops, none is passed on behind a
+//! request that has taken long, either: its response could come too late.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use celeryshore_model::Time;
+
+/// Time after which a request without a response holds up those behind it while the node
+/// stops. Callers send the requests of a pipeline within a few milliseconds.
+const MAX_AGE_AHEAD: Duration = Duration::from_millis(250);
 
 /// Requests of one connection that were passed on and have no complete response yet.
 ///
@@ -13,15 +22,18 @@
 /// ```
 /// use celeryshore_kernel::Pipeline;
 /// use celeryshore_kernel::PipelineStep;
+/// use celeryshore_model::Time;
 ///
+/// let now = Time::ZERO;
 /// let mut pipeline = Pipeline::default();
-/// assert_eq!(pipeline.admit(false, false), PipelineStep::PassOn);
+/// assert_eq!(pipeline.admit(now, false, false), PipelineStep::PassOn);
 /// assert!(pipeline.closes(true));
-/// assert_eq!(pipeline.admit(false, true), PipelineStep::Reject);
+/// assert_eq!(pipeline.admit(now, false, true), PipelineStep::Reject);
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Pipeline {
-    unanswered: usize,
+    /// When each of them was passed on, the oldest first.
+    unanswered: VecDeque<Time>,
     /// No further request is passed on.
     is_closed: bool,
 }
@@ -41,23 +53,25 @@
     /// Decides on a request that was read. `is_last` if its caller or the node wants the
     /// connection to be closed after it, and `is_stopping` if the node stops.
     #[must_use]
-    pub const fn admit(&mut self, is_last: bool, is_stopping: bool) -> PipelineStep {
+    pub fn admit(&mut self, now: Time, is_last: bool, is_stopping: bool) -> PipelineStep {
         if self.is_closed {
             return PipelineStep::Reject;
         }
-        if is_stopping && self.unanswered > 0 {
+        let oldest = self.unanswered.front();
+        let is_held_up = oldest.is_some_and(|since| now - *since > MAX_AGE_AHEAD);
+        if is_stopping && is_held_up {
             return PipelineStep::Wait;
         }
-        self.unanswered += 1;
-        self.is_closed = is_last || is_stopping;
+        self.unanswered.push_back(now);
+        self.is_closed = is_last;
         PipelineStep::PassOn
     }
 
     /// Decides whether the response that is written next closes the connection. It does if
     /// it is the last one that is due.
     #[must_use]
-    pub const fn closes(&mut self, is_stopping: bool) -> bool {
-        let is_last = self.unanswered <= 1;
+    pub fn closes(&mut self, is_stopping: bool) -> bool {
+        let is_last = self.unanswered.len() <= 1;
         if is_last && is_stopping {
             self.is_closed = true;
         }
@@ -65,8 +79,8 @@
     }
 
     /// Records that a response has been written.
-    pub const fn finish(&mut self) {
-        self.unanswered = self.unanswered.saturating_sub(1);
+    pub fn finish(&mut self) {
+        self.unanswered.pop_front();
     }
 
     /// Returns `true` if no further request is passed on.
@@ -77,10 +91,9 @@
 
     /// Closes an idle connection. Returns `false` if a request was passed on meanwhile.
     #[must_use]
-    pub const fn close_idle(&mut self) -> bool {
-        if self.unanswered == 0 {
-            self.is_closed = true;
-        }
-        self.unanswered == 0
+    pub fn close_idle(&mut self) -> bool {
+        let is_idle = self.unanswered.is_empty();
+        self.is_closed |= is_idle;
+        is_idle
     }
 }
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -149,8 +149,9 @@
     async fn admit(&self, conn: &mut Connection, is_last: bool) -> Option<ReadEnd> {
         let admitted = async {
             loop {
+                let now = self.callers.driver.now().mono;
                 let is_stopping = self.guard.is_closing();
-                let step = self.pipeline().admit(is_last, is_stopping);
+                let step = self.pipeline().admit(now, is_last, is_stopping);
                 match step {
                     PipelineStep::PassOn => return None,
                     PipelineStep::Reject => return Some(ReadEnd::WriterDone),
