--- a/crates/kernel/tests/stop_time.rs
+++ b/crates/kernel/tests/stop_time.rs
@@ -171,6 +171,26 @@
     assert!(mesh.is_drained("vm-1"));
 }
 
+/// Guards against long requests that are all refused because few were seen, although these
+/// took the same time.
+#[test]
+fn few_long_orders() {
+    const RUN_MS: u64 = 2_300;
+    let mut mesh = start(slow_ordering(&["glasgow", "perth"]), GRACE_MS);
+    observe_runs(&mut mesh, &["vm-1"], &order(), 4, RUN_MS);
+    stop(&mut mesh, "vm-1");
+    let mut served = 0;
+    for _ in 0..20 {
+        mesh.advance(100);
+        let call = mesh.call("vm-1", order());
+        served += u32::from(refusal(&mesh, call).is_none());
+    }
+    assert_eq!(served, 20);
+    mesh.advance(1_800);
+    let late = mesh.call("vm-1", order());
+    assert!(refusal(&mesh, late).is_some());
+}
+
 /// Guards against a kind that was never seen: until its deadline it may take any time.
 #[test]
 fn unseen_kind() {
