--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,33 @@
+//! Stand-ins and drivers of the scripts in `review/6` to `review/10`.
+//!
+//! `review-2 CASE RECORD` starts the store, the upstreams, the nodes and the clients of a
+//! small deployment, writes what they saw to the file RECORD, and exits with 1 if the rule
+//! was broken, 0 if it held and 2 if the case couldn't run. `TROUBLE=0` leaves the
+//! disruption out.
+
+mod http;
+mod mesh;
+mod store;
+
+mod long_watch;
+mod pipelined_expect;
+
+use std::process::exit;
+
+use crate::mesh::Record;
+
+fn main() {
+    let args: Vec<_> = std::env::args().skip(1).collect();
+    let [case, path] = &args[..] else {
+        eprintln!("usage: review-2 CASE RECORD");
+        exit(2);
+    };
+    let has_trouble = !std::env::var("TROUBLE").is_ok_and(|v| v == "0");
+    let record = Record::create(path);
+    let is_broken = match case.as_str() {
+        "long-watch" => long_watch::run(record, has_trouble),
+        "pipelined-expect" => pipelined_expect::run(record, has_trouble),
+        _ => exit(2),
+    };
+    exit(i32::from(is_broken));
+}
