--- a/review/standins-2/src/long_watch.rs
+++ b/review/standins-2/src/long_watch.rs
@@ -70,7 +70,7 @@
 
     let mut version = 3;
     if has_trouble {
-        mesh.store.set_mood(Mood { slow: SLOW_FACTOR, ..Mood::default() });
+        mesh.store.set_mood(Mood { slow: SLOW_FACTOR });
         record.note(format_args!("the store's answers take {SLOW_FACTOR} times as long"));
         let start = record.now();
         while record.now() - start < STORM {
@@ -99,7 +99,7 @@
     };
     let old = late.iter().filter(|(_, id)| runs_at(id, "old")).count();
     let new = late.iter().filter(|(_, id)| runs_at(id, "new")).count();
-    let (_, largest) = mesh.store.counts();
+    let largest = mesh.store.largest_watch();
     record.note(format_args!("largest answer to a watch: {largest} bytes"));
     record.note(format_args!(
         "of {} requests sent later than 2 s after the acknowledgement, {old} ran at the old service, {new} at the new one",
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -9,8 +9,10 @@
 mod mesh;
 mod store;
 
+mod deep_pipeline;
 mod long_watch;
 mod pipelined_expect;
+mod route_name;
 
 use std::process::exit;
 
@@ -27,6 +29,8 @@
     let is_broken = match case.as_str() {
         "long-watch" => long_watch::run(record, has_trouble),
         "pipelined-expect" => pipelined_expect::run(record, has_trouble),
+        "deep-pipeline" => deep_pipeline::run(record, has_trouble),
+        "route-name" => route_name::run(record, has_trouble),
         _ => exit(2),
     };
     exit(i32::from(is_broken));
