--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod store;
 
 mod deep_pipeline;
+mod keyed_recovery;
 mod long_watch;
 mod pipelined_expect;
 mod route_name;
@@ -29,6 +30,7 @@
     let is_broken = match case.as_str() {
         "long-watch" => long_watch::run(record, has_trouble),
         "pipelined-expect" => pipelined_expect::run(record, has_trouble),
+        "keyed-recovery" => keyed_recovery::run(record, has_trouble),
         "deep-pipeline" => deep_pipeline::run(record, has_trouble),
         "route-name" => route_name::run(record, has_trouble),
         _ => exit(2),
--- a/review/standins-2/src/mesh.rs
+++ b/review/standins-2/src/mesh.rs
@@ -223,12 +223,17 @@
         )
     }
 
-    /// Ends all processes. Their logs stay in the temporary folder if `KEEP_LOGS` is set.
-    pub fn stop(&mut self) {
-        for child in &mut self.children {
+    /// Kills the processes of all nodes.
+    pub fn kill_nodes(&mut self) {
+        for mut child in self.children.drain(..) {
             let _ = child.kill();
             let _ = child.wait();
         }
+    }
+
+    /// Ends all processes. Their logs stay in the temporary folder if `KEEP_LOGS` is set.
+    pub fn stop(&mut self) {
+        self.kill_nodes();
         if std::env::var_os("KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.dir);
         }
