--- a/review/standins-2/src/mesh.rs
+++ b/review/standins-2/src/mesh.rs
@@ -32,7 +32,7 @@
 const READY: usize = 1;
 const PEER: usize = 2;
 const CONTROL: usize = 3;
-const OPERATORS: usize = 4;
+pub const OPERATORS: usize = 4;
 const TARGET: usize = 5;
 const STORE: usize = 6;
 const PORTS: usize = 7;
@@ -114,7 +114,8 @@
         let ports = free_ports(&machines.iter().map(|m| m.0).collect::<Vec<_>>());
         let dir = std::env::temp_dir().join(format!("celeryshore-review-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a temporary folder");
-        let store = Store::start(SocketAddr::new(store_ip(), ports[STORE]));
+        let doors = (0..machines.len()).map(|i| SocketAddr::new(store_ip(i), ports[STORE]));
+        let store = Store::start(doors.collect());
         Self {
             record,
             store,
@@ -218,11 +219,24 @@
             at(TARGET),
             self.link,
             zones.join(", "),
-            SocketAddr::new(store_ip(), self.ports[STORE]),
+            SocketAddr::new(store_ip(machine), self.ports[STORE]),
             seeds.join(", "),
         )
     }
 
+    /// Kills the process of one node and starts it again.
+    pub fn restart_node(&mut self, machine: usize) {
+        let _ = self.children[machine].kill();
+        let _ = self.children[machine].wait();
+        self.children[machine] = self.start_node(machine, false);
+    }
+
+    /// Sends a signal, such as STOP or CONT, to the process of one node.
+    pub fn signal_node(&self, machine: usize, signal: &str) {
+        let pid = self.children[machine].id().to_string();
+        let _ = Command::new("kill").args([format!("-{signal}"), pid]).status();
+    }
+
     /// Kills the processes of all nodes.
     pub fn kill_nodes(&mut self) {
         for mut child in self.children.drain(..) {
@@ -247,8 +261,9 @@
     }
 }
 
-fn store_ip() -> IpAddr {
-    "127.0.77.200".parse().unwrap()
+/// Address at which a machine reads the store.
+fn store_ip(machine: usize) -> IpAddr {
+    format!("127.0.77.{}", 200 + machine).parse().unwrap()
 }
 
 /// Finds ports that are free on all machines and at the store.
@@ -257,7 +272,7 @@
     let mut held = Vec::new();
     for port in &mut ports {
         *port = loop {
-            let first = TcpListener::bind((store_ip(), 0)).expect("a free port");
+            let first = TcpListener::bind((store_ip(0), 0)).expect("a free port");
             let port = first.local_addr().unwrap().port();
             let others: Result<Vec<_>, _> =
                 ips.iter().map(|ip| TcpListener::bind((*ip, port))).collect();
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,10 +19,25 @@
 /// Usual time of an answer, and time for which the store keeps its history.
 const ANSWER: Duration = Duration::from_millis(4);
 const HISTORY: Duration = Duration::from_secs(20);
+/// Time for which a silent store keeps a connection open.
+const SILENCE: Duration = Duration::from_secs(3);
 /// Most items on a page of a list.
 const PAGE: usize = 500;
 
-/// What the store does to its readers just now.
+/// How the store treats the readers at one of its addresses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Door {
+    #[default]
+    Open,
+    /// Connections are closed without an answer.
+    Reset,
+    /// Nothing is answered.
+    Silent,
+    /// Everything is answered with 503.
+    Busy,
+}
+
+/// What the store does to all its readers just now.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Mood {
     /// Factor on the time of an answer; 0 counts as 1.
@@ -38,7 +54,8 @@
     at: Instant,
     revision: u64,
     key: String,
-    value: Arc<str>,
+    /// Absent if the item was removed.
+    value: Option<Arc<str>>,
     created: u64,
 }
 
@@ -50,6 +67,7 @@
     items: BTreeMap<String, Item>,
     history: VecDeque<Event>,
     mood: Mood,
+    doors: Vec<Door>,
     largest_watch: usize,
 }
 
@@ -59,41 +77,79 @@
 }
 
 impl Store {
-    pub fn start(addr: SocketAddr) -> Self {
-        let state = State { revision: 7, ..State::default() };
+    /// Starts the store, with one address for each machine.
+    pub fn start(addrs: Vec<SocketAddr>) -> Self {
+        let doors = vec![Door::Open; addrs.len()];
+        let state = State { revision: 7, doors, ..State::default() };
         let store = Self { state: Arc::new((Mutex::new(state), Condvar::new())) };
-        let listener = TcpListener::bind(addr).expect("the store's address is free");
-        let served = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = served.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
+        for (machine, addr) in addrs.into_iter().enumerate() {
+            let listener = TcpListener::bind(addr).expect("the store's address is free");
+            let served = store.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let store = served.clone();
+                    thread::spawn(move || store.serve(stream, machine));
+                }
+            });
+        }
         store
     }
 
     pub fn set_mood(&self, mood: Mood) {
-        self.state.0.lock().unwrap().mood = mood;
+        self.lock().mood = mood;
+    }
+
+    pub fn set_door(&self, machine: usize, door: Door) {
+        self.lock().doors[machine] = door;
+    }
+
+    /// Drops the history.
+    pub fn forget(&self) {
+        let mut state = self.lock();
+        state.dropped = state.revision;
+        state.history.clear();
+    }
+
+    /// Keys of all items that begin so.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().unwrap()
     }
 
     /// Length of the longest answer to a watch so far, in bytes.
     pub fn largest_watch(&self) -> usize {
-        self.state.0.lock().unwrap().largest_watch
+        self.lock().largest_watch
     }
 
     /// Writes an item. Its return is the acknowledgement.
     pub fn put(&self, key: &str, value: &[u8]) {
-        self.change(key, http::base64(value).into());
+        self.change(key, Some(http::base64(value).into()));
+    }
+
+    /// Removes an item, if it is there. Its return is the acknowledgement.
+    pub fn remove(&self, key: &str) {
+        if self.lock().items.contains_key(key) {
+            self.change(key, None);
+        }
     }
 
-    fn change(&self, key: &str, value: Arc<str>) {
-        let mut state = self.state.0.lock().unwrap();
+    fn change(&self, key: &str, value: Option<Arc<str>>) {
+        let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
         let created = state.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value: value.clone(), revision, created };
-        state.items.insert(key.to_owned(), item);
+        match &value {
+            Some(value) => {
+                let item = Item { value: value.clone(), revision, created };
+                state.items.insert(key.to_owned(), item);
+            }
+            None => drop(state.items.remove(key)),
+        }
         state.history.push_back(Event {
             at: Instant::now(),
             revision,
@@ -107,10 +163,20 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, machine: usize) {
         let mut conn = Conn::new(stream);
         while let Ok(Some(request)) = conn.read() {
             let target = request.target().to_owned();
+            let door = self.lock().doors[machine];
+            match door {
+                Door::Open => {}
+                Door::Reset => return,
+                Door::Silent => return thread::sleep(SILENCE),
+                Door::Busy => {
+                    let _ = conn.write(&http::response("503 Service Unavailable", "", b""));
+                    return;
+                }
+            }
             let (status, body) = if target.starts_with("/v1/kv-watch") {
                 self.watch(&target)
             } else if target.starts_with("/v1/kv-range") {
@@ -118,7 +184,7 @@
             } else {
                 ("404 Not Found", "{}".to_owned())
             };
-            let slow = self.state.0.lock().unwrap().mood.slow.max(1);
+            let slow = self.lock().mood.slow.max(1);
             thread::sleep(ANSWER * slow);
             let fields = "Content-Type: application/json\r\n";
             if conn.write(&http::response(status, fields, body.as_bytes())).is_err() {
@@ -130,7 +196,7 @@
     fn range(&self, target: &str) -> String {
         let prefix = http::parameter(target, "prefix").unwrap_or_default();
         let after = http::parameter(target, "after").unwrap_or_default();
-        let state = self.state.0.lock().unwrap();
+        let state = self.lock();
         let found = state.items.iter();
         let mut found = found.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
         let items: Vec<_> = found.by_ref().take(PAGE).collect();
@@ -150,7 +216,7 @@
         let after = number("after").unwrap_or(0);
         let wait = Duration::from_millis(number("waitMs").unwrap_or(0).min(30_000));
         let start = Instant::now();
-        let mut state = self.state.0.lock().unwrap();
+        let mut state = self.lock();
         loop {
             if after < state.dropped {
                 return ("410 Gone", "{}".to_owned());
@@ -176,5 +242,9 @@
 }
 
 fn event(event: &Event) -> String {
-    written(&event.key, &event.value, event.revision, event.created)
+    let (key, revision) = (&event.key, event.revision);
+    match &event.value {
+        Some(value) => written(key, value, revision, event.created),
+        None => format!(r#"{{"key":"{key}","revision":{revision},"removed":true}}"#),
+    }
 }
