--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -14,6 +14,7 @@
 mod deep_pipeline;
 mod keyed_recovery;
 mod long_watch;
+mod odd_entries;
 mod route_name;
 mod soak;
 
@@ -34,6 +35,7 @@
         "long-watch" => long_watch::run(record, has_trouble),
         "keyed-recovery" => keyed_recovery::run(record, has_trouble),
         "deep-pipeline" => deep_pipeline::run(record, has_trouble),
+        "odd-entries" => odd_entries::run(record, has_trouble),
         "soak" => soak::run(record, number(0), number(1), has_trouble),
         "route-name" => route_name::run(record, has_trouble),
         _ => exit(2),
--- a/review/standins-2/src/mesh.rs
+++ b/review/standins-2/src/mesh.rs
@@ -43,6 +43,8 @@
 /// A run of a request at an upstream.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    pub at: Duration,
+    pub upstream: String,
     pub id: String,
     pub service: String,
 }
@@ -85,8 +87,10 @@
     pub service: String,
     pub zone: String,
     pub addr: SocketAddr,
-    /// Whether it still writes to the store.
-    pub registers: Arc<AtomicBool>,
+    /// Millisecond of its start.
+    born: u128,
+    /// Whether it reports that it leaves.
+    is_draining: Arc<AtomicBool>,
 }
 
 pub struct Mesh {
@@ -140,7 +144,8 @@
                 service: service.clone(),
                 zone: zone.clone(),
                 addr: SocketAddr::new(*ip, self.ports[TARGET]),
-                registers: Arc::new(AtomicBool::new(true)),
+                born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+                is_draining: Arc::default(),
             };
             serve_upstream(&upstream, &self.record, answer);
             register(upstream.clone(), self.store.clone());
@@ -286,25 +291,32 @@
 }
 
 fn register(upstream: Upstream, store: Store) {
-    let millis = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-    let write = move |sequence: u64| {
-        let Upstream { id, service, zone, addr, .. } = &upstream;
-        let value = format!(
-            r#"{{"address":"{addr}","born":{millis},"info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":12}},"status":{{"state":"ready","sequence":{sequence},"coldRemaining":"0ms"}}}}"#
-        );
-        if upstream.registers.load(Ordering::SeqCst) {
-            store.put(&format!("servers/{id}"), value.as_bytes());
-        }
-    };
-    write(1);
+    upstream.write(&store, 1);
     thread::spawn(move || {
         for sequence in 2.. {
             thread::sleep(HEARTBEAT);
-            write(sequence);
+            upstream.write(&store, sequence);
         }
     });
 }
 
+impl Upstream {
+    /// Reports that it leaves. It serves on. The return is the store's acknowledgement.
+    pub fn drain(&self, store: &Store) {
+        self.is_draining.store(true, Ordering::SeqCst);
+        self.write(store, 1_000);
+    }
+
+    fn write(&self, store: &Store, sequence: u64) {
+        let Self { id, service, zone, addr, born, is_draining } = self;
+        let state = if is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let value = format!(
+            r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":12}},"status":{{"state":"{state}","sequence":{sequence},"coldRemaining":"0ms"}}}}"#
+        );
+        store.put(&format!("servers/{id}"), value.as_bytes());
+    }
+}
+
 fn serve_upstream(upstream: &Upstream, record: &Record, answer: &Answer) {
     let listener = TcpListener::bind(upstream.addr).expect("the upstream's address is free");
     let (upstream, record, answer) = (upstream.clone(), record.clone(), answer.clone());
@@ -337,6 +349,8 @@
         let id = request.field("celeryshore-request-id").unwrap_or_default().to_owned();
         record.note(format_args!("run {id} at {} of {}: {}", upstream.id, upstream.service, request.first));
         record.arrivals.lock().unwrap().push(Arrival {
+            at: record.now(),
+            upstream: upstream.id.clone(),
             id,
             service: upstream.service.clone(),
         });
