--- a/review/standins-2/src/deep_pipeline.rs
+++ b/review/standins-2/src/deep_pipeline.rs
@@ -31,12 +31,21 @@
 }
 
 pub fn run(record: Record, has_trouble: bool) -> bool {
-    let machines = [("a", "desk"), ("b", "desk"), ("c", "desk"), ("a", "desk"), ("b", "desk"), ("c", "desk")];
+    let machines = [
+        ("a", "desk"),
+        ("b", "desk"),
+        ("c", "desk"),
+        ("a", "desk"),
+        ("b", "desk"),
+        ("c", "desk"),
+    ];
     let mut mesh = Mesh::new(record.clone(), &machines);
     let routes = [("look", "safe", "/look/", "desk")];
     let text = mesh::config(3, &routes, &["desk"], 10);
     // The requests take long, and the operator allows for it.
-    let text = text.replace("\"300ms\"", "\"3000ms\"").replace("\"1500ms\"", "\"6000ms\"");
+    let text = text
+        .replace("\"300ms\"", "\"3000ms\"")
+        .replace("\"1500ms\"", "\"6000ms\"");
     mesh.store.put("op/config", text.as_bytes());
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     mesh.start_upstreams(&upstream(&record, &runs));
@@ -48,12 +57,17 @@
         let stream = TcpStream::connect(mesh.callers(round)).expect("the node accepts");
         let mut conn = Conn::new(stream);
         let prefix = format!("r{round}-");
-        let requests = (0..DEPTH).map(|i| mesh::request("GET", "/look/1", &format!("{prefix}{i}"), 6_000));
+        let requests =
+            (0..DEPTH).map(|i| mesh::request("GET", "/look/1", &format!("{prefix}{i}"), 6_000));
         let requests: Vec<u8> = requests.flatten().collect();
         conn.write(&requests).expect("the node reads");
-        record.note(format_args!("{DEPTH} requests {prefix}* sent on one connection"));
+        record.note(format_args!(
+            "{DEPTH} requests {prefix}* sent on one connection"
+        ));
         if !has_trouble {
-            let answered = (0..DEPTH).filter(|_| matches!(conn.read(), Ok(Some(_)))).count();
+            let answered = (0..DEPTH)
+                .filter(|_| matches!(conn.read(), Ok(Some(_))))
+                .count();
             record.note(format_args!("{answered} of them answered"));
             continue;
         }
@@ -69,7 +83,9 @@
         let (ends, total) = lasting.fold((0, 0), |(late, total), run| {
             (late + usize::from(run.end > left + ALLOWED), total + 1)
         });
-        let arrivals = runs.iter().filter(|r| r.id.starts_with(&prefix) && r.start > left + ALLOWED);
+        let arrivals = runs
+            .iter()
+            .filter(|r| r.id.starts_with(&prefix) && r.start > left + ALLOWED);
         record.note(format_args!(
             "half a second later, upstreams are at work on {ends} of {total} requests that last so long; {} more arrive later",
             arrivals.count()
@@ -84,7 +100,10 @@
 fn upstream(record: &Record, runs: &Arc<Mutex<Vec<Run>>>) -> Answer {
     let (record, runs) = (record.clone(), runs.clone());
     Arc::new(move |request, conn| {
-        let id = request.field("celeryshore-request-id").unwrap_or_default().to_owned();
+        let id = request
+            .field("celeryshore-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let start = record.now();
         let _ = conn.stream.set_nonblocking(true);
         let mut is_closed = false;
@@ -97,8 +116,14 @@
         }
         let _ = conn.stream.set_nonblocking(false);
         let end = record.now();
-        record.note(format_args!("{id} {}", if is_closed { "dropped" } else { "done" }));
+        record.note(format_args!(
+            "{id} {}",
+            if is_closed { "dropped" } else { "done" }
+        ));
         runs.lock().unwrap().push(Run { id, start, end });
-        !is_closed && conn.write(&http::response("200 OK", &mesh::signed(request), b"done")).is_ok()
+        !is_closed
+            && conn
+                .write(&http::response("200 OK", &mesh::signed(request), b"done"))
+                .is_ok()
     })
 }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -17,7 +17,10 @@
 
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
-        let found = self.fields.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .fields
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -42,7 +45,10 @@
 impl Conn {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: Vec::new() }
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
@@ -71,7 +77,9 @@
         };
         for line in lines {
             if let Some((name, value)) = line.split_once(':') {
-                message.fields.push((name.to_owned(), value.trim().to_owned()));
+                message
+                    .fields
+                    .push((name.to_owned(), value.trim().to_owned()));
             }
         }
         let length = message.field("content-length").and_then(|v| v.parse().ok());
@@ -109,14 +117,17 @@
     stream.set_read_timeout(Some(timeout))?;
     let mut conn = Conn::new(stream);
     conn.write(request)?;
-    conn.read()?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    conn.read()?
+        .ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
 /// Value of a parameter in a query, decoded.
 pub fn parameter(target: &str, name: &str) -> Option<String> {
     let query = target.split_once('?')?.1;
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(n, _)| *n == name).map(|(_, value)| decode(value))
+    pairs
+        .find(|(n, _)| *n == name)
+        .map(|(_, value)| decode(value))
 }
 
 fn decode(text: &str) -> String {
--- a/review/standins-2/src/keyed_recovery.rs
+++ b/review/standins-2/src/keyed_recovery.rs
@@ -27,7 +27,10 @@
 pub fn run(record: Record, has_trouble: bool) -> bool {
     let machines = [("a", "office"), ("b", "office"), ("c", "office")];
     let mut mesh = Mesh::new(record.clone(), &machines);
-    let routes = [("filing", "unsafe", "/filing/", "office"), ("review", "unsafe", "/review/", "office")];
+    let routes = [
+        ("filing", "unsafe", "/filing/", "office"),
+        ("review", "unsafe", "/review/", "office"),
+    ];
     let text = mesh::config(3, &routes, &["office"], 10);
     mesh.store.put("op/config", text.as_bytes());
     mesh.start_upstreams(&mesh::sound(Duration::from_millis(20)));
@@ -83,8 +86,12 @@
     };
     let (before, sent_before) = served(fault - Duration::from_secs(8), fault);
     let (after, sent_after) = served(back + RECOVERY, back + RECOVERY + COUNTED);
-    record.note(format_args!("in the 8 s before the fault, {before} of {sent_before} requests were served"));
-    record.note(format_args!("later than 15 s after all nodes were ready, {after} of {sent_after} were served"));
+    record.note(format_args!(
+        "in the 8 s before the fault, {before} of {sent_before} requests were served"
+    ));
+    record.note(format_args!(
+        "later than 15 s after all nodes were ready, {after} of {sent_after} were served"
+    ));
     let is_enough = |served: u32, sent: u32| f64::from(served) >= SHARE * f64::from(sent);
     if !is_enough(before, sent_before) {
         record.note("too few were served before the fault");
@@ -95,7 +102,10 @@
 
 /// A new key for each request: a UUID of version 7.
 fn key(machine: usize, n: usize) -> String {
-    let millis = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let millis = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
     let (high, low) = (millis >> 16, millis & 0xffff);
     format!("{high:08x}-{low:04x}-7{machine:03x}-8abc-{n:012x}")
 }
--- a/review/standins-2/src/long_watch.rs
+++ b/review/standins-2/src/long_watch.rs
@@ -27,7 +27,14 @@
 const OBSERVED: Duration = Duration::from_secs(6);
 
 pub fn run(record: Record, has_trouble: bool) -> bool {
-    let machines = [("a", "old"), ("b", "old"), ("c", "old"), ("a", "new"), ("b", "new"), ("c", "new")];
+    let machines = [
+        ("a", "old"),
+        ("b", "old"),
+        ("c", "old"),
+        ("a", "new"),
+        ("b", "new"),
+        ("c", "new"),
+    ];
     let mut mesh = Mesh::new(record.clone(), &machines);
     let services = ["old", "new"];
     let publish = |mesh: &Mesh, version: u32, service: &str| {
@@ -36,7 +43,9 @@
         mesh.store.put("op/config", text.as_bytes());
         let at = record.now();
         let size = text.len();
-        record.note(format_args!("r{version} acknowledged: /look/ to {service}, {size} bytes"));
+        record.note(format_args!(
+            "r{version} acknowledged: /look/ to {service}, {size} bytes"
+        ));
         at
     };
     publish(&mesh, 3, "old");
@@ -71,7 +80,9 @@
     let mut version = 3;
     if has_trouble {
         mesh.store.set_mood(Mood { slow: SLOW_FACTOR });
-        record.note(format_args!("the store's answers take {SLOW_FACTOR} times as long"));
+        record.note(format_args!(
+            "the store's answers take {SLOW_FACTOR} times as long"
+        ));
         let start = record.now();
         while record.now() - start < STORM {
             version += 1;
@@ -94,9 +105,8 @@
     let sent = sent.lock().unwrap();
     let late: Vec<_> = sent.iter().filter(|(at, _)| *at > due).collect();
     let arrivals = record.arrivals.lock().unwrap();
-    let runs_at = |id: &str, service: &str| {
-        arrivals.iter().any(|a| a.id == id && a.service == service)
-    };
+    let runs_at =
+        |id: &str, service: &str| arrivals.iter().any(|a| a.id == id && a.service == service);
     let old = late.iter().filter(|(_, id)| runs_at(id, "old")).count();
     let new = late.iter().filter(|(_, id)| runs_at(id, "new")).count();
     let largest = mesh.store.largest_watch();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -28,7 +28,11 @@
         eprintln!("usage: review-2 CASE RECORD, or review-2 soak RECORD SEED ROUNDS");
         exit(2);
     };
-    let number = |i: usize| rest.get(i).and_then(|n: &String| n.parse().ok()).unwrap_or(1);
+    let number = |i: usize| {
+        rest.get(i)
+            .and_then(|n: &String| n.parse().ok())
+            .unwrap_or(1)
+    };
     let has_trouble = !std::env::var("TROUBLE").is_ok_and(|v| v == "0");
     let record = Record::create(path);
     let is_broken = match case.as_str() {
--- a/review/standins-2/src/mesh.rs
+++ b/review/standins-2/src/mesh.rs
@@ -144,7 +144,10 @@
                 service: service.clone(),
                 zone: zone.clone(),
                 addr: SocketAddr::new(*ip, self.ports[TARGET]),
-                born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+                born: SystemTime::now()
+                    .duration_since(UNIX_EPOCH)
+                    .unwrap()
+                    .as_millis(),
                 is_draining: Arc::default(),
             };
             serve_upstream(&upstream, &self.record, answer);
@@ -239,7 +242,9 @@
     /// Sends a signal, such as STOP or CONT, to the process of one node.
     pub fn signal_node(&self, machine: usize, signal: &str) {
         let pid = self.children[machine].id().to_string();
-        let _ = Command::new("kill").args([format!("-{signal}"), pid]).status();
+        let _ = Command::new("kill")
+            .args([format!("-{signal}"), pid])
+            .status();
     }
 
     /// Kills the processes of all nodes.
@@ -257,7 +262,6 @@
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
-
 }
 
 impl Drop for Mesh {
@@ -279,8 +283,10 @@
         *port = loop {
             let first = TcpListener::bind((store_ip(0), 0)).expect("a free port");
             let port = first.local_addr().unwrap().port();
-            let others: Result<Vec<_>, _> =
-                ips.iter().map(|ip| TcpListener::bind((*ip, port))).collect();
+            let others: Result<Vec<_>, _> = ips
+                .iter()
+                .map(|ip| TcpListener::bind((*ip, port)))
+                .collect();
             if let Ok(others) = others {
                 held.push((first, others));
                 break port;
@@ -308,8 +314,19 @@
     }
 
     fn write(&self, store: &Store, sequence: u64) {
-        let Self { id, service, zone, addr, born, is_draining } = self;
-        let state = if is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let Self {
+            id,
+            service,
+            zone,
+            addr,
+            born,
+            is_draining,
+        } = self;
+        let state = if is_draining.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let value = format!(
             r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{zone}","slots":12}},"status":{{"state":"{state}","sequence":{sequence},"coldRemaining":"0ms"}}}}"#
         );
@@ -341,13 +358,22 @@
         }
         let expected = request.field("celeryshore-expected-instance");
         if expected.is_some_and(|id| id != upstream.id) {
-            if conn.write(&http::response("421 Misdirected Request", &named, b"")).is_err() {
+            if conn
+                .write(&http::response("421 Misdirected Request", &named, b""))
+                .is_err()
+            {
                 return;
             }
             continue;
         }
-        let id = request.field("celeryshore-request-id").unwrap_or_default().to_owned();
-        record.note(format_args!("run {id} at {} of {}: {}", upstream.id, upstream.service, request.first));
+        let id = request
+            .field("celeryshore-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        record.note(format_args!(
+            "run {id} at {} of {}: {}",
+            upstream.id, upstream.service, request.first
+        ));
         record.arrivals.lock().unwrap().push(Arrival {
             at: record.now(),
             upstream: upstream.id.clone(),
@@ -364,7 +390,8 @@
 pub fn sound(work: Duration) -> Answer {
     Arc::new(move |request, conn| {
         thread::sleep(work);
-        conn.write(&http::response("200 OK", &signed(request), b"done")).is_ok()
+        conn.write(&http::response("200 OK", &signed(request), b"done"))
+            .is_ok()
     })
 }
 
@@ -387,7 +414,14 @@
         )
     };
     let named = routes.iter().map(|(n, k, p, s)| rule(n, k, p, s));
-    let idle = (0..idle).map(|i| rule(&format!("idle-{i:05}"), "safe", &format!("/idle-{i:05}/"), services[0]));
+    let idle = (0..idle).map(|i| {
+        rule(
+            &format!("idle-{i:05}"),
+            "safe",
+            &format!("/idle-{i:05}/"),
+            services[0],
+        )
+    });
     let rules: Vec<_> = named.chain(idle).collect();
     let clusters = services.iter().map(|name| {
         format!(
--- a/review/standins-2/src/odd_entries.rs
+++ b/review/standins-2/src/odd_entries.rs
@@ -23,7 +23,14 @@
 const SERVES_ON: Duration = Duration::from_secs(8);
 
 pub fn run(record: Record, has_trouble: bool) -> bool {
-    let machines = [("a", "desk"), ("a", "desk"), ("b", "desk"), ("b", "desk"), ("c", "desk"), ("c", "desk")];
+    let machines = [
+        ("a", "desk"),
+        ("a", "desk"),
+        ("b", "desk"),
+        ("b", "desk"),
+        ("c", "desk"),
+        ("c", "desk"),
+    ];
     let mut mesh = Mesh::new(record.clone(), &machines);
     let routes = [("look", "safe", "/look/", "desk")];
     let text = mesh::config(3, &routes, &["desk"], 10);
@@ -54,8 +61,11 @@
     thread::sleep(Duration::from_secs(2));
     for i in 0..ENTRIES {
         if has_trouble {
-            mesh.store.put(&format!("servers/odd-{i}"), &vec![0xff; SIZE]);
-            record.note(format_args!("another writer leaves servers/odd-{i}, {SIZE} bytes that can't be read"));
+            mesh.store
+                .put(&format!("servers/odd-{i}"), &vec![0xff; SIZE]);
+            record.note(format_args!(
+                "another writer leaves servers/odd-{i}, {SIZE} bytes that can't be read"
+            ));
         }
         thread::sleep(GAP);
     }
@@ -63,7 +73,10 @@
     let upstream = mesh.upstreams[LEAVING].clone();
     upstream.drain(&mesh.store);
     let acknowledged = record.now();
-    record.note(format_args!("draining of {} acknowledged; it serves on", upstream.id));
+    record.note(format_args!(
+        "draining of {} acknowledged; it serves on",
+        upstream.id
+    ));
     thread::sleep(SERVES_ON);
     ends.store(true, Ordering::SeqCst);
     for client in clients {
@@ -71,10 +84,15 @@
     }
 
     let arrivals = record.arrivals.lock().unwrap();
-    let own = arrivals.iter().filter(|a| a.upstream == upstream.id && a.at > acknowledged);
+    let own = arrivals
+        .iter()
+        .filter(|a| a.upstream == upstream.id && a.at > acknowledged);
     let late = own.clone().filter(|a| a.at > acknowledged + DRAIN).count();
     let last = own.map(|a| a.at - acknowledged).max().unwrap_or_default();
-    record.note(format_args!("largest answer to a watch: {} bytes", mesh.store.largest_watch()));
+    record.note(format_args!(
+        "largest answer to a watch: {} bytes",
+        mesh.store.largest_watch()
+    ));
     record.note(format_args!(
         "{late} requests reached {} later than 2 s after the acknowledgement, the last after {:.3} s",
         upstream.id,
--- a/review/standins-2/src/route_name.rs
+++ b/review/standins-2/src/route_name.rs
@@ -17,15 +17,31 @@
 const OBSERVED: Duration = Duration::from_secs(8);
 
 pub fn run(record: Record, has_trouble: bool) -> bool {
-    let machines = [("a", "old"), ("b", "old"), ("c", "old"), ("a", "new"), ("b", "new"), ("c", "new")];
+    let machines = [
+        ("a", "old"),
+        ("b", "old"),
+        ("c", "old"),
+        ("a", "new"),
+        ("b", "new"),
+        ("c", "new"),
+    ];
     let mut mesh = Mesh::new(record.clone(), &machines);
     let services = ["old", "new"];
     let publish = |mesh: &Mesh, version: u32, service: &str, added: &str| {
-        let routes = [("look", "safe", "/look/", service), (added, "safe", "/added/", "new")];
-        let routes = if added.is_empty() { &routes[..1] } else { &routes[..] };
+        let routes = [
+            ("look", "safe", "/look/", service),
+            (added, "safe", "/added/", "new"),
+        ];
+        let routes = if added.is_empty() {
+            &routes[..1]
+        } else {
+            &routes[..]
+        };
         let text = mesh::config(version, routes, &services, 10);
         mesh.store.put("op/config", text.as_bytes());
-        record.note(format_args!("r{version} acknowledged: /look/ to {service}, added route {added:?}"));
+        record.note(format_args!(
+            "r{version} acknowledged: /look/ to {service}, added route {added:?}"
+        ));
         record.now()
     };
     publish(&mesh, 3, "old", "");
@@ -58,7 +74,11 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(1));
-    let name = if has_trouble { "Stock-Check" } else { "stock-check" };
+    let name = if has_trouble {
+        "Stock-Check"
+    } else {
+        "stock-check"
+    };
     let acknowledged = publish(&mesh, 7, "new", name);
     thread::sleep(CONFIG + OBSERVED);
     ends.store(true, Ordering::SeqCst);
@@ -72,7 +92,9 @@
     let arrivals = record.arrivals.lock().unwrap();
     let runs_at_old = |id: &str| arrivals.iter().any(|a| a.id == id && a.service == "old");
     let old = late.iter().filter(|(_, id, ..)| runs_at_old(id)).count();
-    let missing = late.iter().filter(|(.., path, status)| *path == "/added/1" && *status == 404);
+    let missing = late
+        .iter()
+        .filter(|(.., path, status)| *path == "/added/1" && *status == 404);
     let missing = missing.count();
     record.note(format_args!(
         "of {} requests sent later than 2 s after the acknowledgement, {old} ran at the old service and {missing} to the added route got 404",
--- a/review/standins-2/src/soak.rs
+++ b/review/standins-2/src/soak.rs
@@ -42,7 +42,10 @@
     let mut mesh = Mesh::new(record.clone(), &machines);
     let mut version = 3;
     let publish = |mesh: &Mesh, version: u32, idle: u64| {
-        let routes = [("look", "safe", "/look/", "desk"), ("guest", "safe", "/guest/", "guest")];
+        let routes = [
+            ("look", "safe", "/look/", "desk"),
+            ("guest", "safe", "/guest/", "guest"),
+        ];
         let text = mesh::config(version, &routes, &["desk", "guest"], idle as usize);
         mesh.store.put("op/config", text.as_bytes());
     };
@@ -61,7 +64,11 @@
             let zone = ZONES[random.below(3) as usize];
             match random.below(16) {
                 0..3 => {
-                    let state = if random.below(3) == 0 { "draining" } else { "ready" };
+                    let state = if random.below(3) == 0 {
+                        "draining"
+                    } else {
+                        "ready"
+                    };
                     register(&mesh, guest, state, random.below(1_000));
                     guests.insert(guest, state);
                     record.note(format_args!("guest {guest} {state}"));
@@ -98,7 +105,11 @@
                     record.note(format_args!("store for node {machine}: {door:?}"));
                 }
                 15 if has_store_trouble => {
-                    let door = if random.below(3) == 0 { door(&mut random) } else { Door::Open };
+                    let door = if random.below(3) == 0 {
+                        door(&mut random)
+                    } else {
+                        Door::Open
+                    };
                     (0..MACHINES).for_each(|machine| mesh.store.set_door(machine, door));
                     record.note(format_args!("store for all nodes: {door:?}"));
                 }
@@ -122,8 +133,12 @@
             let view = view(&mesh, machine);
             if view != expected {
                 let differs: Vec<_> = view.symmetric_difference(&expected).cloned().collect();
-                record.note(format_args!("round {round}: the view of node {machine} differs: {differs:?}"));
-                println!("seed {seed}, round {round}: the view of node {machine} differs: {differs:?}");
+                record.note(format_args!(
+                    "round {round}: the view of node {machine} differs: {differs:?}"
+                ));
+                println!(
+                    "seed {seed}, round {round}: the view of node {machine} differs: {differs:?}"
+                );
                 return true;
             }
         }
@@ -143,7 +158,8 @@
         guest + 1,
         1_000 + sequence
     );
-    mesh.store.put(&format!("servers/g-{guest}"), value.as_bytes());
+    mesh.store
+        .put(&format!("servers/g-{guest}"), value.as_bytes());
 }
 
 /// What a node should say of the guests: their names, and why it would send them nothing.
@@ -151,7 +167,9 @@
     let evacuated = mesh.store.keys("op/evacuate/");
     let guests = guests.iter().map(|(guest, state)| {
         let zone = ZONES[(*guest % 3) as usize];
-        let is_evacuated = evacuated.iter().any(|key| key.ends_with(&format!("/{zone}")));
+        let is_evacuated = evacuated
+            .iter()
+            .any(|key| key.ends_with(&format!("/{zone}")));
         let left_out = match (*state, is_evacuated) {
             ("draining", _) => "leaving",
             (_, true) => "out-of-service",
@@ -167,7 +185,9 @@
     let addr = SocketAddr::new(mesh.machines[machine].0, mesh.ports[mesh::OPERATORS]);
     let request = b"GET /explain?method=GET&host=mesh.example&path=%2Fguest%2F1 HTTP/1.1\r\nHost: node\r\n\r\n";
     let answer = http::exchange(addr, request, Duration::from_secs(3));
-    let text = answer.map_or(String::new(), |a| String::from_utf8_lossy(&a.body).into_owned());
+    let text = answer.map_or(String::new(), |a| {
+        String::from_utf8_lossy(&a.body).into_owned()
+    });
     let version = field(&text, "version");
     let version = version.split('.').nth(1).unwrap_or_default().to_owned();
     let guests = text.split("\"upstream\": \"").skip(1).map(|part| {
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -80,8 +80,14 @@
     /// Starts the store, with one address for each machine.
     pub fn start(addrs: Vec<SocketAddr>) -> Self {
         let doors = vec![Door::Open; addrs.len()];
-        let state = State { revision: 7, doors, ..State::default() };
-        let store = Self { state: Arc::new((Mutex::new(state), Condvar::new())) };
+        let state = State {
+            revision: 7,
+            doors,
+            ..State::default()
+        };
+        let store = Self {
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+        };
         for (machine, addr) in addrs.into_iter().enumerate() {
             let listener = TcpListener::bind(addr).expect("the store's address is free");
             let served = store.clone();
@@ -145,7 +151,11 @@
         let created = state.items.get(key).map_or(revision, |item| item.created);
         match &value {
             Some(value) => {
-                let item = Item { value: value.clone(), revision, created };
+                let item = Item {
+                    value: value.clone(),
+                    revision,
+                    created,
+                };
                 state.items.insert(key.to_owned(), item);
             }
             None => drop(state.items.remove(key)),
@@ -157,7 +167,11 @@
             value,
             created,
         });
-        while state.history.front().is_some_and(|e| e.at.elapsed() > HISTORY) {
+        while state
+            .history
+            .front()
+            .is_some_and(|e| e.at.elapsed() > HISTORY)
+        {
             state.dropped = state.history.pop_front().map_or(0, |e| e.revision);
         }
         self.state.1.notify_all();
@@ -187,7 +201,10 @@
             let slow = self.lock().mood.slow.max(1);
             thread::sleep(ANSWER * slow);
             let fields = "Content-Type: application/json\r\n";
-            if conn.write(&http::response(status, fields, body.as_bytes())).is_err() {
+            if conn
+                .write(&http::response(status, fields, body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -230,7 +247,12 @@
                 state.largest_watch = state.largest_watch.max(body.len());
                 return ("200 OK", body);
             }
-            state = self.state.1.wait_timeout(state, Duration::from_millis(5)).unwrap().0;
+            state = self
+                .state
+                .1
+                .wait_timeout(state, Duration::from_millis(5))
+                .unwrap()
+                .0;
         }
     }
 }
