--- a/review/standins-2/src/deep_pipeline.rs
+++ b/review/standins-2/src/deep_pipeline.rs
@@ -69,6 +69,10 @@
                 .filter(|_| matches!(conn.read(), Ok(Some(_))))
                 .count();
             record.note(format_args!("{answered} of them answered"));
+            if answered < DEPTH {
+                mesh.stop();
+                std::process::exit(2);
+            }
             continue;
         }
         thread::sleep(LEAVES_AFTER);
--- a/review/standins-2/src/mesh.rs
+++ b/review/standins-2/src/mesh.rs
@@ -116,7 +116,10 @@
             })
             .collect();
         let ports = free_ports(&machines.iter().map(|m| m.0).collect::<Vec<_>>());
-        let dir = std::env::temp_dir().join(format!("celeryshore-review-{}", std::process::id()));
+        let dir = match std::env::var_os("CASE_DIR") {
+            Some(dir) => dir.into(),
+            None => std::env::temp_dir().join(format!("celeryshore-review-{}", std::process::id())),
+        };
         fs::create_dir_all(&dir).expect("a temporary folder");
         let doors = (0..machines.len()).map(|i| SocketAddr::new(store_ip(i), ports[STORE]));
         let store = Store::start(doors.collect());
@@ -161,6 +164,7 @@
         for machine in 0..self.machines.len() {
             let child = self.start_node(machine, first_start);
             self.children.push(child);
+            self.write_pids();
         }
         let deadline = Instant::now() + Duration::from_secs(15);
         for (ip, ..) in &self.machines {
@@ -237,6 +241,7 @@
         let _ = self.children[machine].kill();
         let _ = self.children[machine].wait();
         self.children[machine] = self.start_node(machine, false);
+        self.write_pids();
     }
 
     /// Sends a signal, such as STOP or CONT, to the process of one node.
@@ -247,12 +252,19 @@
             .status();
     }
 
+    /// Lists the processes that run, so that the script can end them if this one is ended.
+    fn write_pids(&self) {
+        let pids = self.children.iter().map(|c| format!("{}\n", c.id()));
+        let _ = fs::write(self.dir.join("pids"), pids.collect::<String>());
+    }
+
     /// Kills the processes of all nodes.
     pub fn kill_nodes(&mut self) {
         for mut child in self.children.drain(..) {
             let _ = child.kill();
             let _ = child.wait();
         }
+        self.write_pids();
     }
 
     /// Ends all processes. Their logs stay in the temporary folder if `KEEP_LOGS` is set.
